--- /dev/null
+++ b/internal/event/event.go
@@ -0,0 +1,72 @@
+// Package event defines the numbered log events of the fleet.
+//
+// Every log line that an operator may act on carries the number and the name
+// of an Event. Numbers are stable: an event that is no longer logged keeps its
+// number. The catalogue in docs/EVENTS.md lists all events; a test compares it
+// with this package.
+//
+// Each area has its own hundred and its own file: 100 callers, 200 budgets and
+// claims, 300 routing and upstreams, 400 configuration, 500 membership, 600
+// orders to engines, 700 answers and operators' commands, 800 key-value
+// service.
+//
+// # Usage
+//
+//	event.RouteChosen.Info(log, "request", id, "upstream", chosen, "reason", reason)
+package event
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/hashicorp/go-hclog"
+)
+
+// Event is a kind of log line with a stable number.
+type Event struct {
+	Number int
+	Name   string
+	// Meaning tells an operator what happened and what to do, if anything.
+	Meaning string
+}
+
+var catalogue []Event
+
+// define adds an event to the catalogue. It is called from variable
+// declarations only.
+func define(number int, name, meaning string) Event {
+	e := Event{Number: number, Name: name, Meaning: meaning}
+	catalogue = append(catalogue, e)
+	return e
+}
+
+// Catalogue returns all events in order of number.
+func Catalogue() []Event {
+	events := slices.Clone(catalogue)
+	slices.SortFunc(events, func(a, b Event) int { return cmp.Compare(a.Number, b.Number) })
+	return events
+}
+
+// Debug logs the event at level debug with the given key-value pairs.
+func (e Event) Debug(log hclog.Logger, args ...any) {
+	log.Debug(e.Name, e.with(args)...)
+}
+
+// Info logs the event at level info with the given key-value pairs.
+func (e Event) Info(log hclog.Logger, args ...any) {
+	log.Info(e.Name, e.with(args)...)
+}
+
+// Warn logs the event at level warn with the given key-value pairs.
+func (e Event) Warn(log hclog.Logger, args ...any) {
+	log.Warn(e.Name, e.with(args)...)
+}
+
+// Error logs the event at level error with the given key-value pairs.
+func (e Event) Error(log hclog.Logger, args ...any) {
+	log.Error(e.Name, e.with(args)...)
+}
+
+func (e Event) with(args []any) []any {
+	return append([]any{"event", e.Number}, args...)
+}
--- /dev/null
+++ b/internal/ledger/page.go
@@ -0,0 +1,52 @@
+// Package ledger defines the pages of the ledger, which record what each
+// budget has been prepaid, what is shared out to routers, and what has been
+// billed.
+//
+// A page holds the budgets whose identifier hashes to it, with their claims, so
+// that one compare-and-swap changes a budget and a claim together. Its
+// functions are pure: they take the page, an op and the present time, and
+// return a result. Package ledger/committer writes pages to the key-value
+// service.
+//
+// After each op every budget satisfies
+//
+//	Settled + sum of Shares[].Granted <= Prepaid
+//
+// # Usage
+//
+//	var p ledger.Page
+//	result := p.Apply(op, now)
+package ledger
+
+import (
+	"example.org/lagoonfork/pkg/ident"
+	"example.org/lagoonfork/pkg/tokens"
+)
+
+// Page is one page of the ledger. The zero value is an empty page.
+type Page struct {
+	Budgets map[ident.Budget]*Budget `json:"budgets"`
+}
+
+// Budget is the account of one prepaid budget.
+type Budget struct {
+	Funding Funding                      `json:"funding"`
+	TopUps  map[ident.TopUp]tokens.Count `json:"topUps,omitempty"`
+	Settled tokens.Count                 `json:"settled"`
+	Shares  map[ident.Incarnation]*Share `json:"shares,omitempty"`
+	Claims  map[ident.Request]*Claim     `json:"claims,omitempty"`
+	// WrittenOff counts tokens of delivered requests that were not charged.
+	WrittenOff tokens.Count `json:"writtenOff,omitempty"`
+}
+
+// Share is what one holder may spend of a budget.
+type Share struct {
+	// Granted is what the holder was given less what it has settled and
+	// returned.
+	Granted tokens.Count `json:"granted"`
+	// Reserved is the part of Granted that open claims hold.
+	Reserved tokens.Count `json:"reserved"`
+	// Sequence and Moved record the last draw or return.
+	Sequence uint64       `json:"sequence"`
+	Moved    tokens.Count `json:"moved"`
+}
--- /dev/null
+++ b/pkg/configuration/configuration.go
@@ -0,0 +1,152 @@
+// Package configuration defines the configuration of the fleet, as it is
+// generated from the operators' answers and put in force on every VM.
+//
+// A configuration is immutable. It is generated deterministically, so that the
+// same answers at the same revision give the same bytes. Routers hold the
+// configuration with the highest revision that they have seen.
+//
+// # Usage
+//
+//	c := watcher.Current()
+//	app, ok := c.ApplicationByKey(hash)
+package configuration
+
+import (
+	"net/netip"
+
+	"example.org/lagoonfork/pkg/ident"
+	"example.org/lagoonfork/pkg/tokens"
+)
+
+// Revision numbers the accepted configurations, starting from 1.
+type Revision int64
+
+// Configuration is what all routers of the fleet agree on.
+type Configuration struct {
+	Revision      Revision   `json:"revision"`
+	AnswersDigest string     `json:"answersDigest"`
+	Policy        Policy     `json:"policy"`
+	Customers     []Customer `json:"customers"`
+	Budgets       []Budget   `json:"budgets"`
+	Services      []Service  `json:"services"`
+}
+
+// Preference is the side to which the fleet leans when a budget runs low or
+// the key-value service is out of reach. Neither side permits overspending.
+type Preference string
+
+// Preferences.
+const (
+	// PreferCaution refuses rather than deliver an answer whose bill is not
+	// yet in the key-value service.
+	PreferCaution Preference = "caution"
+	// PreferAvailability delivers when routers in two other failure domains
+	// hold the bill.
+	PreferAvailability Preference = "availability"
+)
+
+// Policy holds the fleet-wide settings that the answers decide.
+type Policy struct {
+	Preference Preference `json:"preference"`
+	// LedgerPages is the number of pages the budgets are spread over. It
+	// cannot change once budgets exist.
+	LedgerPages int `json:"ledgerPages"`
+	// RefillHorizonSeconds is how long a share should last at the current
+	// drawing rate.
+	RefillHorizonSeconds int `json:"refillHorizonSeconds"`
+	// ShareLifetimeSeconds is how long a holder may deliver answers after its
+	// lease was last confirmed.
+	ShareLifetimeSeconds int `json:"shareLifetimeSeconds"`
+	// ClaimRetentionSeconds is how long a settled claim is kept to recognise
+	// retries of its request.
+	ClaimRetentionSeconds int `json:"claimRetentionSeconds"`
+	// SilenceLimitMillis is the greatest gap between two events of a stream
+	// before its connection is given up.
+	SilenceLimitMillis int `json:"silenceLimitMillis"`
+	// RefusalAllowanceMillis is how long a request may wait for tokens to come
+	// back from other holders before it is refused.
+	RefusalAllowanceMillis int `json:"refusalAllowanceMillis"`
+	// CrashLimit is the number of upstream crashes after which a request is
+	// refused by the whole fleet.
+	CrashLimit int `json:"crashLimit"`
+}
+
+// Customer is a member organisation.
+type Customer struct {
+	ID           ident.Customer `json:"id"`
+	Name         string         `json:"name"`
+	Weight       int            `json:"weight"` // share of the upstreams under contention
+	Applications []Application  `json:"applications"`
+}
+
+// Application is a program of a customer that calls the fleet with its own key.
+type Application struct {
+	ID       ident.Application `json:"id"`
+	KeyHash  string            `json:"keyHash"` // SHA-256 of the bearer key, in hexadecimal
+	Budget   ident.Budget      `json:"budget"`
+	Services []ident.Service   `json:"services"`
+	Priority int               `json:"priority"` // passed to the engine; higher runs first
+	// MaxOutput bounds the output of one request.
+	MaxOutput tokens.Count `json:"maxOutput"`
+}
+
+// Budget is a prepaid budget. Prepaid counts the tokens bought through the
+// answers; top-ups are in the ledger only.
+type Budget struct {
+	ID       ident.Budget   `json:"id"`
+	Customer ident.Customer `json:"customer"`
+	Prepaid  tokens.Count   `json:"prepaid"`
+	// Funded is the revision at which Prepaid last changed.
+	Funded Revision `json:"funded"`
+}
+
+// Kind tells a model engine from a plain service.
+type Kind string
+
+// Kinds of service.
+const (
+	KindEngine Kind = "engine"
+	KindPlain  Kind = "plain"
+)
+
+// Service is a set of upstreams that answer the same calls.
+type Service struct {
+	ID        ident.Service `json:"id"`
+	Kind      Kind          `json:"kind"`
+	Models    []Model       `json:"models,omitempty"`
+	Calls     []Call        `json:"calls,omitempty"`
+	Upstreams []Upstream    `json:"upstreams"`
+}
+
+// Model is a model that an engine service offers.
+type Model struct {
+	ID      ident.Model `json:"id"`
+	Version string      `json:"version"`
+	Adapter string      `json:"adapter,omitempty"`
+	// ContextWindow bounds prompt and output together.
+	ContextWindow tokens.Count `json:"contextWindow"`
+	// Replicas is the least number of engines that keep the model loaded.
+	Replicas int `json:"replicas"`
+}
+
+// Call is a call of a plain service. A call that matches none is not
+// idempotent unless its method is safe by the HTTP standard.
+type Call struct {
+	Method     string       `json:"method"`
+	PathPrefix string       `json:"pathPrefix"`
+	Idempotent bool         `json:"idempotent"`
+	Cost       tokens.Count `json:"cost"`
+}
+
+// Upstream is one process that answers the calls of its service.
+type Upstream struct {
+	ID            ident.Upstream      `json:"id"`
+	Address       netip.AddrPort      `json:"address"`
+	FailureDomain ident.FailureDomain `json:"failureDomain"`
+	Region        ident.Region        `json:"region"`
+	// ChecksFencing reports whether the engine refuses an order with an old
+	// fencing number.
+	ChecksFencing bool `json:"checksFencing"`
+	// Slots is the number of requests that the upstream runs at once.
+	Slots int `json:"slots"`
+}
--- /dev/null
+++ b/pkg/store/store.go
@@ -0,0 +1,135 @@
+// Package store defines the interface of the platform's key-value service:
+// compare-and-swap on one key, leases and watches.
+//
+// All state that must last or be agreed goes through a Store. Values are
+// limited to MaxValueSize. Every call may fail in three ways that a caller has
+// to tell apart: ErrConflict and ErrUnavailable mean that nothing was written,
+// ErrUnknown means that the write may have taken effect.
+//
+// # Usage
+//
+// A writer reads an entry, computes the new value, and swaps it on condition
+// that the entry still has the revision it read:
+//
+//	entry, err := s.Get(ctx, "ledger/17")
+//	...
+//	revision, err := s.Put(ctx, "ledger/17", next, store.If(entry.Revision))
+//	switch {
+//	case merry.Is(err, store.ErrConflict): // read again
+//	case merry.Is(err, store.ErrUnknown):  // read back and look for the write
+//	}
+//
+// The contract that every implementation keeps is in package storetest.
+package store
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+// MaxValueSize is the greatest size of a value in bytes.
+const MaxValueSize = 1 << 20
+
+// Errors of a Store. An implementation wraps one of them in each error it
+// returns, except for the error of a context that ended before the call began.
+var (
+	// ErrConflict reports that the condition of a write did not hold.
+	ErrConflict = errors.New("revision conflict")
+	// ErrUnavailable reports that the service did not run the call.
+	ErrUnavailable = errors.New("key-value service unavailable")
+	// ErrUnknown reports that a write may or may not have taken effect.
+	ErrUnknown = errors.New("outcome of write unknown")
+	// ErrLeaseNotFound reports that a lease has expired or never existed.
+	ErrLeaseNotFound = errors.New("lease not found")
+	// ErrTooLarge reports a value over MaxValueSize. Nothing was written.
+	ErrTooLarge = errors.New("value too large")
+	// ErrCompacted reports that a watch asked for changes no longer held.
+	// The watcher lists the prefix again.
+	ErrCompacted = errors.New("revision compacted")
+)
+
+// Revision orders all changes of a store. Revision 0 is that of an absent key.
+type Revision int64
+
+// Lease identifies a lease. NoLease is the zero value.
+type Lease int64
+
+// NoLease is the lease of entries that do not expire.
+const NoLease Lease = 0
+
+// Entry is a key with its value. An absent key has Revision 0.
+type Entry struct {
+	Key      string
+	Value    []byte
+	Revision Revision // revision of the last change of this key
+	Lease    Lease
+}
+
+// Condition is what has to hold for a write to take effect. The zero value is
+// Always.
+type Condition struct {
+	guarded  bool
+	revision Revision
+}
+
+// Always is the condition that always holds.
+var Always = Condition{}
+
+// If returns the condition that the key's revision is r; If(0) requires that
+// the key is absent.
+func If(r Revision) Condition {
+	return Condition{guarded: true, revision: r}
+}
+
+// Guard returns the revision that the condition asks for, and whether it asks
+// for one at all.
+func (c Condition) Guard() (r Revision, guarded bool) {
+	return c.revision, c.guarded
+}
+
+// Event is a change of one key. Deleted entries have no value.
+type Event struct {
+	Entry   Entry
+	Deleted bool
+}
+
+// Batch is a set of events in order of revision. Revision is the revision of
+// the store that the batch reaches.
+type Batch struct {
+	Events   []Event
+	Revision Revision
+}
+
+// Store is the platform's key-value service. Implementations are safe for
+// concurrent use.
+type Store interface {
+	// Get returns the entry of key. An absent key is not an error.
+	Get(ctx context.Context, key string) (Entry, error)
+	// List returns the entries whose key begins with prefix, in order of key,
+	// and the revision of the store at which they were read.
+	List(ctx context.Context, prefix string) ([]Entry, Revision, error)
+	// Put writes value under key if cond holds, bound to lease unless it is
+	// NoLease, and returns the new revision.
+	Put(ctx context.Context, key string, value []byte, cond Condition, lease Lease) (Revision, error)
+	// Delete removes key if cond holds. Deleting an absent key under Always
+	// succeeds.
+	Delete(ctx context.Context, key string, cond Condition) error
+	// Grant creates a lease that lives for ttl unless it is kept alive.
+	Grant(ctx context.Context, ttl time.Duration) (Lease, error)
+	// KeepAlive restarts the lease's time to live.
+	KeepAlive(ctx context.Context, lease Lease) error
+	// Revoke ends the lease and deletes the keys bound to it.
+	Revoke(ctx context.Context, lease Lease) error
+	// Watch follows the changes of keys that begin with prefix after the
+	// revision from.
+	Watch(ctx context.Context, prefix string, from Revision) (Watch, error)
+}
+
+// Watch is a sequence of changes. It is used by one goroutine at a time.
+type Watch interface {
+	// Next waits for the next batch. After an error the watch has ended.
+	Next(ctx context.Context) (Batch, error)
+	// Close ends the watch and waits until its resources are released.
+	Close() error
+}
