--- /dev/null
+++ b/internal/routing/commands.go
@@ -0,0 +1,258 @@
+package routing
+
+import (
+	"slices"
+	"time"
+
+	"example.org/lagoonfork/pkg/configuration"
+	"example.org/lagoonfork/pkg/ident"
+	"example.org/lagoonfork/pkg/tokens"
+)
+
+// Work is a request in flight on an upstream.
+type Work struct {
+	Upstream ident.Upstream
+	Tokens   tokens.Count
+	Isolated bool
+}
+
+// Observation is what a finished request showed of its upstream. Durations of
+// zero are not taken into account.
+type Observation struct {
+	// FirstToken is the time from dispatch to the first token.
+	FirstToken time.Duration
+	// PerToken is the mean time between two tokens.
+	PerToken time.Duration
+	// Uncached is the part of the prompt that was not expected in the cache.
+	Uncached tokens.Count
+	// Failed reports that the upstream, rather than the request, failed.
+	Failed bool
+}
+
+// Report is an upstream's own account of its load.
+type Report struct {
+	Backlog tokens.Count // tokens yet to generate, queued and running
+	AsOf    time.Time
+	Models  []ident.Model
+	Leaving bool
+}
+
+// Configure replaces the set of upstreams. What is known of those that stay is
+// kept.
+func (t *Table) Configure(service configuration.Service) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	members := make(map[ident.Upstream]*member, len(service.Upstreams))
+	t.all, t.near = nil, nil
+	for _, u := range service.Upstreams {
+		m := t.keepOrAdd(u)
+		members[u.ID] = m
+		t.all = append(t.all, m)
+		if u.FailureDomain == t.place.FailureDomain {
+			t.near = append(t.near, m)
+		}
+	}
+	t.members = members
+	t.sumReports()
+}
+
+func (t *Table) sumReports() {
+	t.reported, t.backlogs = 0, 0
+	for _, m := range t.all {
+		if !m.reported.IsZero() {
+			t.reported++
+			t.backlogs += m.load
+		}
+	}
+}
+
+func (t *Table) keepOrAdd(u configuration.Upstream) *member {
+	m := t.members[u.ID]
+	if m == nil || m.upstream.Address != u.Address {
+		return newMember(u, t.place)
+	}
+	m.upstream = u
+	m.distance = distance(u, t.place)
+	return m
+}
+
+// Start records that a request was dispatched to an upstream.
+func (t *Table) Start(now time.Time, id ident.Upstream, size tokens.Count, isolated bool) *Work {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	w := &Work{Upstream: id, Tokens: size, Isolated: isolated}
+	m := t.members[id]
+	if m == nil {
+		return w
+	}
+	m.outstanding += size
+	m.running[w] = struct{}{}
+	m.remember(start{at: now, work: size})
+	if isolated {
+		m.isolated++
+	}
+	return w
+}
+
+// Finish records the end of a request's work. Finishing it again has no effect.
+func (t *Table) Finish(now time.Time, w *Work, o Observation) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	m := t.members[w.Upstream]
+	if m == nil {
+		return
+	}
+	if _, running := m.running[w]; !running {
+		return
+	}
+	delete(m.running, w)
+	m.outstanding -= w.Tokens
+	if w.Isolated {
+		m.isolated--
+	}
+	m.observe(now, o)
+}
+
+func (m *member) observe(now time.Time, o Observation) {
+	if o.Failed {
+		m.fail(now)
+		return
+	}
+	m.failures = 0
+	if o.PerToken > 0 {
+		m.pace = average(m.pace, o.PerToken)
+	}
+	if o.FirstToken > 0 && o.Uncached > 0 {
+		m.prefill = average(m.prefill, o.FirstToken/time.Duration(o.Uncached))
+	}
+}
+
+// fail pauses the upstream, twice as long for each failure in a row.
+func (m *member) fail(now time.Time) {
+	pause := lastPause
+	if m.failures < 5 {
+		pause = min(firstPause<<m.failures, lastPause)
+	}
+	m.failures++
+	m.pausedTo = now.Add(pause)
+}
+
+// Fail records a failure of an upstream that no request in flight showed, such
+// as a load report that could not be read.
+func (t *Table) Fail(now time.Time, id ident.Upstream) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if m := t.members[id]; m != nil {
+		m.fail(now)
+		m.forgetCache()
+	}
+}
+
+// Report takes in an upstream's load report. A report older than the one held
+// is ignored.
+func (t *Table) Report(id ident.Upstream, r Report) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	m := t.members[id]
+	if m == nil || !r.AsOf.After(m.reported) {
+		return
+	}
+	if m.reported.IsZero() {
+		t.reported++
+	}
+	t.backlogs += r.Backlog - m.load
+	m.load = r.Backlog
+	m.reported = r.AsOf
+	m.models = r.Models
+	m.leave(SourceReport, r.Leaving)
+}
+
+// Source is where the fleet learns that an upstream is leaving. An upstream
+// takes no new work while any source says that it leaves.
+type Source uint8
+
+// Sources.
+const (
+	SourceReport Source = 1 << iota
+	SourceList
+	SourcePeer
+	SourceOperator
+)
+
+// Leave records whether a source says that an upstream is leaving. It reports
+// whether the upstream's availability changed.
+func (t *Table) Leave(id ident.Upstream, source Source, leaving bool) (changed bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	m := t.members[id]
+	return m != nil && m.leave(source, leaving)
+}
+
+func (m *member) leave(source Source, leaving bool) (changed bool) {
+	before := m.leaving
+	if leaving {
+		m.leaving |= source
+	} else {
+		m.leaving &^= source
+	}
+	return (before == 0) != (m.leaving == 0)
+}
+
+// Cached records that an upstream published a cache event for a prefix. An
+// event that does not follow the last one forgets all that was known of the
+// upstream's cache.
+func (t *Table) Cached(id ident.Upstream, sequence uint64, prefixes []Prefix) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	m := t.members[id]
+	if m == nil {
+		return
+	}
+	if sequence != m.cacheSeq+1 {
+		m.forgetCache()
+	}
+	m.cacheSeq = sequence
+	for _, p := range prefixes {
+		t.hold(p, m)
+	}
+}
+
+// Expect records that the router itself sent a prompt with the prefixes to an
+// upstream, which will therefore have them cached.
+func (t *Table) Expect(id ident.Upstream, prefixes []PrefixLength) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	m := t.members[id]
+	if m == nil {
+		return
+	}
+	for _, p := range prefixes {
+		t.hold(p.Prefix, m)
+	}
+}
+
+// Forget drops what was known of an upstream's cache.
+func (t *Table) Forget(id ident.Upstream) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if m := t.members[id]; m != nil {
+		m.forgetCache()
+	}
+}
+
+func (m *member) forgetCache() {
+	m.cacheEpoch++
+}
+
+func (t *Table) hold(p Prefix, m *member) {
+	if len(t.prefixes) >= maxPrefixes {
+		clear(t.prefixes)
+	}
+	holders := slices.DeleteFunc(t.prefixes[p], func(h cached) bool {
+		return h.member == m || h.epoch != h.member.cacheEpoch
+	})
+	if len(holders) == maxPrefixHolders {
+		holders = holders[1:]
+	}
+	t.prefixes[p] = append(holders, cached{member: m, epoch: m.cacheEpoch})
+}
--- /dev/null
+++ b/internal/routing/queries.go
@@ -0,0 +1,71 @@
+package routing
+
+import (
+	"time"
+
+	"example.org/lagoonfork/pkg/configuration"
+	"example.org/lagoonfork/pkg/ident"
+	"example.org/lagoonfork/pkg/tokens"
+)
+
+// Status is the table's view of one upstream.
+type Status struct {
+	Upstream    ident.Upstream      `json:"upstream"`
+	Domain      ident.FailureDomain `json:"failureDomain"`
+	Running     int                 `json:"running"`
+	Outstanding tokens.Count        `json:"outstandingTokens"`
+	Reported    tokens.Count        `json:"reportedTokens"`
+	AsOf        time.Time           `json:"asOf,omitzero"`
+	Leaving     bool                `json:"leaving"`
+	Failures    int                 `json:"failures"`
+	PausedTo    time.Time           `json:"pausedTo,omitzero"`
+}
+
+// Status returns the view of all upstreams in the order of the configuration.
+func (t *Table) Status() []Status {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	all := make([]Status, len(t.all))
+	for i, m := range t.all {
+		all[i] = m.status()
+	}
+	return all
+}
+
+func (m *member) status() Status {
+	return Status{
+		Upstream:    m.upstream.ID,
+		Domain:      m.upstream.FailureDomain,
+		Running:     len(m.running),
+		Outstanding: m.outstanding,
+		Reported:    m.load,
+		AsOf:        m.reported,
+		Leaving:     m.leaving != 0,
+		Failures:    m.failures,
+		PausedTo:    m.pausedTo,
+	}
+}
+
+// Upstreams returns the configured upstreams.
+func (t *Table) Upstreams() []configuration.Upstream {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	all := make([]configuration.Upstream, len(t.all))
+	for i, m := range t.all {
+		all[i] = m.upstream
+	}
+	return all
+}
+
+// Slots returns the number of requests that the available upstreams run at
+// once.
+func (t *Table) Slots(now time.Time) (slots int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, m := range t.all {
+		if m.available(now) {
+			slots += m.upstream.Slots
+		}
+	}
+	return slots
+}
--- /dev/null
+++ b/internal/routing/routing_test.go
@@ -0,0 +1,136 @@
+package routing
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"example.org/lagoonfork/pkg/configuration"
+	"example.org/lagoonfork/pkg/ident"
+)
+
+var start0 = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func service(n int) configuration.Service {
+	s := configuration.Service{ID: "llm", Kind: configuration.KindEngine}
+	for i := range n {
+		s.Upstreams = append(s.Upstreams, configuration.Upstream{
+			ID:            ident.Upstream(fmt.Sprintf("u%d", i)),
+			Address:       netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 80),
+			FailureDomain: ident.FailureDomain(fmt.Sprintf("d%d", i%3)),
+			Region:        "r",
+			Slots:         8,
+		})
+	}
+	return s
+}
+
+func rng() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
+
+func TestChooseAvoidsUnavailable(t *testing.T) {
+	tests := []struct {
+		name  string
+		spoil func(t *Table)
+		query Query
+	}{
+		{"leaving by list", func(t *Table) { t.Leave("u0", SourceList, true) }, Query{}},
+		{"leaving by report", func(t *Table) {
+			t.Report("u0", Report{AsOf: start0, Leaving: true})
+		}, Query{}},
+		{"leaving by list although a newer report says otherwise", func(t *Table) {
+			t.Leave("u0", SourceList, true)
+			t.Report("u0", Report{AsOf: start0})
+		}, Query{}},
+		{"failed", func(t *Table) { t.Fail(start0, "u0") }, Query{}},
+		{"model not loaded", func(t *Table) {
+			t.Report("u0", Report{AsOf: start0, Models: []ident.Model{"other"}})
+		}, Query{Model: "m"}},
+		{"excluded", func(*Table) {}, Query{Exclude: []ident.Upstream{"u0"}}},
+		{"isolated beside a suspect", func(t *Table) { t.Start(start0, "u0", 10, true) }, Query{Isolate: true}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			table := NewTable(service(2), Place{FailureDomain: "d0", Region: "r"})
+			tt.spoil(table)
+			r := rng()
+			for range 50 {
+				d, err := table.Choose(start0, tt.query, r)
+				require.NoError(t, err)
+				assert.Equal(t, ident.Upstream("u1"), d.Upstream.ID)
+			}
+		})
+	}
+}
+
+func TestChooseNoUpstream(t *testing.T) {
+	table := NewTable(service(2), Place{})
+	table.Leave("u0", SourceList, true)
+	table.Fail(start0, "u1")
+	_, err := table.Choose(start0, Query{}, rng())
+	assert.ErrorIs(t, err, ErrNoUpstream)
+	_, err = table.Choose(start0.Add(lastPause), Query{}, rng())
+	assert.NoError(t, err, "a failed upstream is tried again")
+}
+
+func TestChoosePrefersCachedPrefixUntilItsQueueIsLong(t *testing.T) {
+	table := NewTable(service(20), Place{FailureDomain: "d0", Region: "r"})
+	prompt := string(make([]byte, 16*blockBytes))
+	q := Query{Prompt: 1024, Output: 100, Prefixes: Prefixes(prompt)}
+	table.Expect("u4", q.Prefixes)
+	d, err := table.Choose(start0, q, rng())
+	require.NoError(t, err)
+	assert.Equal(t, ident.Upstream("u4"), d.Upstream.ID)
+	assert.Equal(t, ReasonPrefix, d.Reason)
+
+	table.Start(start0, "u4", 100_000, false)
+	d, err = table.Choose(start0, q, rng())
+	require.NoError(t, err)
+	assert.NotEqual(t, ident.Upstream("u4"), d.Upstream.ID)
+}
+
+func TestCacheEventGapForgets(t *testing.T) {
+	table := NewTable(service(20), Place{})
+	q := Query{Prompt: 64, Prefixes: Prefixes(string(make([]byte, blockBytes)))}
+	table.Cached("u4", 1, []Prefix{q.Prefixes[0].Prefix})
+	table.Cached("u4", 3, nil)
+	d, err := table.Choose(start0, q, rng())
+	require.NoError(t, err)
+	assert.NotEqual(t, ReasonPrefix, d.Reason)
+}
+
+func TestFinishTwiceCountsOnce(t *testing.T) {
+	table := NewTable(service(1), Place{})
+	w := table.Start(start0, "u0", 70, true)
+	table.Finish(start0, w, Observation{})
+	table.Finish(start0, w, Observation{})
+	status := table.Status()[0]
+	assert.Zero(t, status.Outstanding)
+	assert.Zero(t, status.Running)
+}
+
+func BenchmarkChoose(b *testing.B) {
+	for _, n := range []int{20, 200, 1100} {
+		b.Run(fmt.Sprintf("upstreams=%d", n), func(b *testing.B) {
+			table := NewTable(service(n), Place{FailureDomain: "d0", Region: "r"})
+			for _, u := range table.Upstreams() {
+				table.Report(u.ID, Report{Backlog: 100, AsOf: start0})
+			}
+			q := Query{Prompt: 1024, Output: 100, Prefixes: Prefixes(string(make([]byte, 4096)))}
+			r := rng()
+			b.ReportAllocs()
+			for b.Loop() {
+				d, err := table.Choose(start0, q, r)
+				if err != nil {
+					b.Fatal(err)
+				}
+				w := table.Start(start0, d.Upstream.ID, 100, false)
+				table.Finish(start0, w, Observation{PerToken: time.Millisecond})
+			}
+		})
+	}
+}
