Add the ops of a ledger page

Cause: budgets and claims need one place where a draw, a claim and a bill are decided.

A delivered answer of an idempotent request is billed even while its open claim has another holder, who may yet release it. A funding below what is settled and shared out is held as Excess. A late record of a request whose claim may have been pruned is answered with Expired.

--- /dev/null
+++ b/internal/ledger/apply.go
@@ -0,0 +1,172 @@
+package ledger
+
+import (
+	"time"
+
+	"example.org/lagoonfork/pkg/ident"
+	"example.org/lagoonfork/pkg/tokens"
+)
+
+// maxCount is the greatest number of tokens that an op may carry. It leaves
+// room for the sums of a budget.
+const maxCount tokens.Count = 1 << 52
+
+// Apply applies op to p at the time now and returns what became of it. It
+// depends on nothing but its arguments. A page is used by one goroutine at a
+// time.
+func (p *Page) Apply(op Op, now time.Time) Result {
+	now = now.UTC().Round(0)
+	if !op.wellFormed() {
+		return Result{Outcome: Invalid}
+	}
+	if op.Reclaim != nil && op.Budget == "" {
+		return p.reclaimAll(op.Reclaim.Holder, now)
+	}
+	b := p.Budgets[op.Budget]
+	if b == nil && op.creates() {
+		b = p.create(op)
+	}
+	if b == nil {
+		return absent(op)
+	}
+	r := b.apply(op, now)
+	r.Free = b.Free()
+	p.collect(b)
+	return r
+}
+
+// Changes returns how often ops have changed the page since it was decoded. Two
+// equal values mean that the ops between them changed nothing.
+func (p *Page) Changes() uint64 {
+	return p.changes
+}
+
+// creates reports whether op may be the first of its budget.
+func (o Op) creates() bool {
+	return o.Draw != nil || o.TopUp != nil
+}
+
+func (p *Page) create(op Op) *Budget {
+	b := &Budget{changed: true}
+	if op.Draw != nil {
+		b.Funding = op.Draw.Funding
+	}
+	if p.Budgets == nil {
+		p.Budgets = make(map[ident.Budget]*Budget)
+	}
+	p.Budgets[op.Budget] = b
+	return b
+}
+
+// collect adds the changes of b to those of p.
+func (p *Page) collect(b *Budget) {
+	if !b.changed {
+		return
+	}
+	b.changed = false
+	p.changes++
+}
+
+// absent returns the result of an op on a budget that does not exist.
+func absent(op Op) Result {
+	switch {
+	case op.Open != nil, op.Return != nil:
+		return Result{Outcome: ShareGone}
+	case op.Settle != nil && !op.Settle.Delivered:
+		return Result{Outcome: ShareGone}
+	}
+	return Result{Outcome: NotFound}
+}
+
+func (p *Page) reclaimAll(holder ident.Incarnation, now time.Time) Result {
+	for _, b := range p.Budgets {
+		b.reclaim(holder, now)
+		p.collect(b)
+	}
+	return Result{Outcome: Applied}
+}
+
+func (b *Budget) apply(op Op, now time.Time) Result {
+	switch {
+	case op.Draw != nil:
+		return b.draw(*op.Draw)
+	case op.Return != nil:
+		return b.handBack(*op.Return)
+	case op.Open != nil:
+		return b.open(op.Open.Claim, now)
+	case op.Settle != nil:
+		return b.settle(*op.Settle, now)
+	case op.Release != nil:
+		return b.release(*op.Release, now)
+	case op.Take != nil:
+		return b.takeOver(*op.Take)
+	case op.TopUp != nil:
+		return b.topUp(*op.TopUp)
+	default:
+		b.reclaim(op.Reclaim.Holder, now)
+		return Result{Outcome: Applied}
+	}
+}
+
+// wellFormed reports whether op names all that it concerns and carries counts
+// within their bounds.
+func (o Op) wellFormed() bool {
+	if o.commands() != 1 {
+		return false
+	}
+	if o.Budget == "" && o.Reclaim == nil {
+		return false
+	}
+	switch {
+	case o.Draw != nil:
+		return o.Draw.wellFormed()
+	case o.Return != nil:
+		return o.Return.Holder != "" && o.Return.Sequence > 0 && positive(o.Return.Tokens)
+	case o.Open != nil:
+		return o.Open.Claim.wellFormed()
+	case o.Settle != nil:
+		c := o.Settle.Claim
+		return c.wellFormed() && inRange(c.Cost) && c.Cost <= c.Reserved
+	case o.Release != nil:
+		return o.Release.Request != "" && o.Release.Holder != ""
+	case o.Take != nil:
+		return o.Take.Request != "" && o.Take.From != "" && o.Take.To != ""
+	case o.TopUp != nil:
+		return o.TopUp.ID != "" && positive(o.TopUp.Tokens)
+	default:
+		return o.Reclaim.Holder != ""
+	}
+}
+
+// commands returns the number of commands that op carries.
+func (o Op) commands() (n int) {
+	set := [...]bool{
+		o.Draw != nil, o.Return != nil, o.Open != nil, o.Settle != nil,
+		o.Release != nil, o.Take != nil, o.TopUp != nil, o.Reclaim != nil,
+	}
+	for _, is := range set {
+		if is {
+			n++
+		}
+	}
+	return n
+}
+
+func (d Draw) wellFormed() bool {
+	if d.Holder == "" || d.Sequence == 0 {
+		return false
+	}
+	return positive(d.Want) && inRange(d.Least) && d.Least <= d.Want && inRange(d.Funding.Prepaid)
+}
+
+func (c Claim) wellFormed() bool {
+	return c.Request != "" && c.Holder != "" && inRange(c.Reserved)
+}
+
+func positive(n tokens.Count) bool {
+	return n > 0 && n <= maxCount
+}
+
+func inRange(n tokens.Count) bool {
+	return n >= 0 && n <= maxCount
+}
--- a/internal/ledger/op.go
+++ b/internal/ledger/op.go
@@ -27,7 +27,9 @@
 //
 // A holder numbers its draws and returns of one budget by Sequence, starting
 // from 1, and sends one at a time. A sequence number that the page has seen
-// is answered with the outcome recorded for it.
+// is answered with the outcome recorded for it. A draw that is answered with
+// Exhausted is not recorded; the next draw uses its number again, so that a
+// late copy of the first cannot add tokens that the holder does not know of.
 type Draw struct {
 	Holder   ident.Incarnation `json:"holder"`
 	Sequence uint64            `json:"sequence"`
@@ -62,8 +64,13 @@
 }
 
 // Settle bills a request once. It settles the holder's open claim, or records
-// a settled claim where none was opened. A request that is settled already, or
-// whose open claim has another holder, is not billed again.
+// a settled claim where none was opened. A request that is settled already is
+// not billed again. One whose open claim has another holder is left to that
+// holder, unless it is idempotent and has been delivered: then it is billed at
+// once, and the other holder's Settle or Release finds the claim Existing.
+//
+// A holder whose opened claim turns out to be Existing has lost the tokens
+// reserved for it, here as after a TakeOver.
 type Settle struct {
 	Claim Claim `json:"claim"` // with Cost, at most Reserved
 	// Delivered reports that the answer's end has already been given to the
@@ -124,7 +131,12 @@
 	WrittenOff Outcome = "writtenOff"
 	// NotFound reports an op on a claim or a budget that does not exist.
 	NotFound Outcome = "notFound"
-	// Invalid reports an op that is malformed.
+	// Expired reports an op without a claim on the page for a request so old
+	// that its claim may have been dropped. Nothing is changed: the request may
+	// have been billed.
+	Expired Outcome = "expired"
+	// Invalid reports an op that is malformed, or a late copy of a draw or
+	// return that a later one has followed.
 	Invalid Outcome = "invalid"
 )
 
--- a/internal/ledger/page.go
+++ b/internal/ledger/page.go
@@ -12,6 +12,10 @@
 //
 //	Settled + sum of Shares[].Granted <= Prepaid
 //
+// where Prepaid is Funding.Prepaid plus all TopUps. An operator may lower the
+// funding below what is settled and shared out. The difference is then held as
+// Excess, which tokens that come back reduce before any become free.
+//
 // # Usage
 //
 //	var p ledger.Page
@@ -19,6 +23,8 @@
 package ledger
 
 import (
+	"time"
+
 	"example.org/lagoonfork/pkg/ident"
 	"example.org/lagoonfork/pkg/tokens"
 )
@@ -26,6 +32,8 @@
 // Page is one page of the ledger. The zero value is an empty page.
 type Page struct {
 	Budgets map[ident.Budget]*Budget `json:"budgets"`
+
+	changes uint64
 }
 
 // Budget is the account of one prepaid budget.
@@ -37,6 +45,14 @@
 	Claims  map[ident.Request]*Claim     `json:"claims,omitempty"`
 	// WrittenOff counts tokens of delivered requests that were not charged.
 	WrittenOff tokens.Count `json:"writtenOff,omitempty"`
+	// Excess is what was settled and shared out beyond a funding when that
+	// funding took effect, less what has come back since. Only a lower funding
+	// raises it, and nothing is shared out while it lasts.
+	Excess tokens.Count `json:"excess,omitempty"`
+	// Pruned is the time up to which claims may have been dropped.
+	Pruned time.Time `json:"pruned,omitzero"`
+
+	changed bool
 }
 
 // Share is what one holder may spend of a budget.
