--- a/pkg/store/store.go
+++ b/pkg/store/store.go
@@ -15,8 +15,8 @@
 //	...
 //	revision, err := s.Put(ctx, "ledger/17", next, store.If(entry.Revision))
 //	switch {
-//	case merry.Is(err, store.ErrConflict): // read again
-//	case merry.Is(err, store.ErrUnknown):  // read back and look for the write
+//	case errors.Is(err, store.ErrConflict): // read again
+//	case errors.Is(err, store.ErrUnknown):  // read back and look for the write
 //	}
 //
 // The contract that every implementation keeps is in package storetest.
