Add the committer of ledger pages

Cause: a compare-and-swap for each op would cost the key-value service a write per request, and a writer whose answer is lost cannot tell whether its op took effect.

Change: package ledger/committer joins all ops that wait for a page into one write, answers them once it is durable, and repeats them after a conflict or a lost answer. A write that may yet take effect is fenced by a write at the same revision before any op is answered from a page that was only read. An op without effect is answered from a fresh read. Pushed ops are repeated until they are durable. Ops can be passed to the owner of the page.

Conclusion: the usual case takes one write and no read; lost, held and refused writes end in one effect each.

--- a/internal/ledger/check.go
+++ b/internal/ledger/check.go
@@ -10,8 +10,13 @@
 	"example.org/lagoonfork/pkg/tokens"
 )
 
-// ErrInvariant reports a page that no sequence of ops can lead to.
-var ErrInvariant = errors.New("ledger page breaks an invariant")
+// Errors of pages.
+var (
+	// ErrInvariant reports a page that no sequence of ops can lead to.
+	ErrInvariant = errors.New("ledger page breaks an invariant")
+	// ErrPageFull reports a page that has no room for an op.
+	ErrPageFull = errors.New("ledger page is full")
+)
 
 // Check returns an error that wraps ErrInvariant unless in each budget
 //
--- /dev/null
+++ b/internal/ledger/committer/committer_test.go
@@ -0,0 +1,226 @@
+package committer
+
+import (
+	"context"
+	"expvar"
+	"runtime"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"example.org/lagoonfork/internal/fake/keyvalue"
+	"example.org/lagoonfork/internal/ledger"
+	"example.org/lagoonfork/pkg/ident"
+	"example.org/lagoonfork/pkg/store"
+	"example.org/lagoonfork/pkg/tokens"
+)
+
+var start = time.Date(2026, 3, 1, 8, 0, 0, 0, time.UTC)
+
+func clock() time.Time { return start }
+
+// open returns a committer over s that repeats failed calls at once.
+func open(s store.Store, pages int) *Committer {
+	return New(Settings{
+		Store: s, Pages: pages, Clock: clock, Seed: 1,
+		Backoff: time.Microsecond, BackoffLimit: 50 * time.Microsecond,
+	})
+}
+
+func closeAll(t testing.TB, cs ...*Committer) {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	for _, c := range cs {
+		assert.NoError(t, c.Close(ctx))
+	}
+}
+
+// cancelAfter calls cancel once n has counted a few calls.
+func cancelAfter(n *expvar.Int, cancel context.CancelFunc) {
+	for n.Value() < 3 {
+		runtime.Gosched()
+	}
+	cancel()
+}
+
+func draw(holder ident.Incarnation, sequence uint64, want tokens.Count) ledger.Op {
+	f := ledger.Funding{Customer: "parish", Prepaid: 1000, Revision: 1}
+	return ledger.Op{Budget: "b", Draw: &ledger.Draw{Holder: holder, Sequence: sequence, Want: want, Least: want, Funding: f}}
+}
+
+func claim(request ident.Request, holder ident.Incarnation, cost tokens.Count) ledger.Claim {
+	return ledger.Claim{
+		Request: request, Holder: holder, Attempt: ident.Attempt(holder), Idempotent: true,
+		Reserved: 10, Cost: cost, Opened: start,
+	}
+}
+
+func opening(c ledger.Claim) ledger.Op {
+	return ledger.Op{Budget: "b", Open: &ledger.Open{Claim: c}}
+}
+
+func settling(c ledger.Claim, delivered bool) ledger.Op {
+	return ledger.Op{Budget: "b", Settle: &ledger.Settle{Claim: c, Delivered: delivered}}
+}
+
+func releasing(request ident.Request, holder ident.Incarnation) ledger.Op {
+	return ledger.Op{Budget: "b", Release: &ledger.Release{Request: request, Holder: holder, Attempt: ident.Attempt(holder)}}
+}
+
+func budget(t testing.TB, s store.Store) *ledger.Budget {
+	entry, err := s.Get(context.Background(), ledger.Key(0))
+	require.NoError(t, err)
+	p, err := ledger.Decode(entry.Value)
+	require.NoError(t, err)
+	return p.Budgets["b"]
+}
+
+func TestApplyRepeatsUntilDurable(t *testing.T) {
+	tests := []struct {
+		name   string
+		faults keyvalue.Faults
+	}{
+		{"healthy", keyvalue.Faults{}},
+		{"answer lost", keyvalue.Faults{LoseAnswers: 3}},
+		{"write lost", keyvalue.Faults{LoseWrites: 3}},
+		{"write held", keyvalue.Faults{HoldWrites: 3}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			service := keyvalue.New(keyvalue.Settings{})
+			client := service.Client()
+			client.SetFaults(tt.faults)
+			c := open(client, 1)
+			r, err := c.Apply(context.Background(), draw("a", 1, 300))
+			require.NoError(t, err)
+			assert.Equal(t, ledger.Result{Outcome: ledger.Applied, Granted: 300, Free: 700}, r)
+			service.ReleaseHeld()
+			assert.EqualValues(t, 700, budget(t, service.Client()).Free())
+			closeAll(t, c)
+		})
+	}
+}
+
+func TestUsualCaseIsOneWriteAndNoRead(t *testing.T) {
+	service := keyvalue.New(keyvalue.Settings{})
+	c := open(service.Client(), 1)
+	for n := range uint64(10) {
+		_, err := c.Apply(context.Background(), draw("a", n+1, 1))
+		require.NoError(t, err)
+	}
+	assert.Equal(t, 1, service.Counts().Reads)
+	assert.Equal(t, 10, service.Counts().Writes)
+	closeAll(t, c)
+}
+
+func TestNoWriteWithoutChangeAndNoStaleRefusal(t *testing.T) {
+	service := keyvalue.New(keyvalue.Settings{})
+	a, b := open(service.Client(), 1), open(service.Client(), 1)
+	ctx := context.Background()
+	_, err := a.Apply(ctx, draw("a", 1, 1000))
+	require.NoError(t, err)
+	r, err := b.Apply(ctx, draw("b", 1, 100))
+	require.NoError(t, err)
+	assert.Equal(t, ledger.Exhausted, r.Outcome)
+	assert.Equal(t, 1, service.Counts().Writes)
+	_, err = a.Apply(ctx, ledger.Op{Budget: "b", Return: &ledger.Return{Holder: "a", Sequence: 2, Tokens: 500}})
+	require.NoError(t, err)
+	r, err = b.Apply(ctx, draw("b", 1, 100))
+	require.NoError(t, err)
+	assert.Equal(t, ledger.Applied, r.Outcome, "refused from a page read before the return")
+	closeAll(t, a, b)
+}
+
+// A write whose answer was lost must not take effect after an op that follows
+// it has been answered.
+func TestHeldWriteCannotFollowLaterAnswer(t *testing.T) {
+	service := keyvalue.New(keyvalue.Settings{})
+	client := service.Client()
+	c := open(client, 1)
+	_, err := c.Apply(context.Background(), draw("a", 1, 300))
+	require.NoError(t, err)
+	client.SetFaults(keyvalue.Faults{HoldWrites: 1 << 30})
+	ctx, cancel := context.WithCancel(context.Background())
+	go cancelAfter(&c.counters.Unknown, cancel)
+	_, err = c.Apply(ctx, opening(claim("r", "a", 0)))
+	require.ErrorIs(t, err, store.ErrUnknown)
+	client.SetFaults(keyvalue.Faults{})
+	r, err := c.Apply(context.Background(), releasing("r", "a"))
+	require.NoError(t, err)
+	assert.Equal(t, ledger.Applied, r.Outcome)
+	service.ReleaseHeld()
+	assert.Empty(t, budget(t, service.Client()).Claims, "the claim was opened after its release")
+	closeAll(t, c)
+}
+
+func TestContextEndDuringOutageWithdraws(t *testing.T) {
+	service := keyvalue.New(keyvalue.Settings{})
+	service.SetFaults(keyvalue.Faults{Outage: true})
+	c := open(service.Client(), 1)
+	ctx, cancel := context.WithCancel(context.Background())
+	go cancelAfter(&c.counters.Unavailable, cancel)
+	_, err := c.Apply(ctx, draw("a", 1, 300))
+	require.ErrorIs(t, err, store.ErrUnavailable)
+	service.SetFaults(keyvalue.Faults{})
+	_, err = c.Apply(context.Background(), draw("b", 1, 1000))
+	require.NoError(t, err)
+	assert.Len(t, budget(t, service.Client()).Shares, 1)
+	closeAll(t, c)
+}
+
+func TestPushOutlastsOutage(t *testing.T) {
+	service := keyvalue.New(keyvalue.Settings{})
+	c := open(service.Client(), 1)
+	_, err := c.Apply(context.Background(), draw("a", 1, 300))
+	require.NoError(t, err)
+	service.SetFaults(keyvalue.Faults{Outage: true})
+	var wg sync.WaitGroup
+	for _, id := range []ident.Request{"r", "s", "t"} {
+		wg.Add(1)
+		c.Push(settling(claim(id, "a", 5), true), func(r ledger.Result) {
+			assert.Equal(t, ledger.Applied, r.Outcome)
+			wg.Done()
+		})
+	}
+	service.SetFaults(keyvalue.Faults{})
+	wg.Wait()
+	assert.EqualValues(t, 15, budget(t, service.Client()).Settled)
+	closeAll(t, c)
+}
+
+func TestCloseFlushesOrReportsWhatIsLeft(t *testing.T) {
+	service := keyvalue.New(keyvalue.Settings{})
+	c := open(service.Client(), 1)
+	done := false
+	c.Push(draw("a", 1, 300), func(ledger.Result) { done = true })
+	closeAll(t, c)
+	assert.True(t, done)
+
+	service.SetFaults(keyvalue.Faults{Outage: true})
+	c = open(service.Client(), 1)
+	c.Push(draw("b", 1, 300), func(ledger.Result) { assert.Fail(t, "done during an outage") })
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	assert.ErrorContains(t, c.Close(ctx), "1 records not written")
+	_, err := c.Apply(context.Background(), draw("a", 2, 300))
+	assert.ErrorIs(t, err, store.ErrUnavailable)
+}
+
+func TestFullPageRefusesAndLosesNothing(t *testing.T) {
+	service := keyvalue.New(keyvalue.Settings{})
+	c := open(service.Client(), 1)
+	ctx := context.Background()
+	_, err := c.Apply(ctx, draw("a", 1, 300))
+	require.NoError(t, err)
+	large := claim("large", "a", 0)
+	large.Digest = string(make([]byte, store.MaxValueSize/6))
+	_, err = c.Apply(ctx, opening(large))
+	require.ErrorIs(t, err, ledger.ErrPageFull)
+	r, err := c.Apply(ctx, opening(claim("small", "a", 0)))
+	require.NoError(t, err)
+	assert.Equal(t, ledger.Applied, r.Outcome)
+	closeAll(t, c)
+}
--- /dev/null
+++ b/internal/ledger/committer/page.go
@@ -0,0 +1,305 @@
+package committer
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"example.org/lagoonfork/internal/event"
+	"example.org/lagoonfork/internal/ledger"
+	"example.org/lagoonfork/pkg/store"
+)
+
+// page is what the committer keeps of one ledger page.
+type page struct {
+	number  int
+	direct  queue // ops to write
+	forward queue // ops to pass to the owner of the page
+
+	// The goroutine that takes from direct owns these.
+	current     *ledger.Page // as in the service at revision, or nil
+	revision    store.Revision
+	pruned      time.Time
+	unavailable bool
+
+	// A write guarded by fence may still take effect while the page has that
+	// revision.
+	fenced bool
+	fence  store.Revision
+
+	// pausedUntil is when the forwarder is tried again. It belongs to the
+	// goroutine that takes from forward.
+	pausedUntil time.Time
+
+	mu       sync.Mutex
+	data     []byte // last known encoding
+	dataFrom store.Revision
+	known    bool
+}
+
+// write commits batches for p until none waits.
+func (c *Committer) write(p *page) {
+	for {
+		batch := p.direct.take()
+		if len(batch) == 0 {
+			return
+		}
+		c.commit(p, batch)
+	}
+}
+
+// commit makes all ops of batch durable, and those that join it while it is
+// being repeated.
+func (c *Committer) commit(p *page, batch []*request) {
+	for attempt := 0; len(batch) > 0; attempt++ {
+		var err error
+		batch, err = c.try(p, batch)
+		switch {
+		case err == nil:
+			c.available(p)
+			return
+		case errors.Is(err, ledger.ErrPageFull), errors.Is(err, store.ErrTooLarge):
+			c.divide(p, batch, err)
+			return
+		case errors.Is(err, store.ErrConflict):
+			c.counters.Conflicts.Add(1)
+		default:
+			c.failed(p, err)
+		}
+		if !c.pause(attempt, err) {
+			failAll(batch)
+			failAll(p.direct.join())
+			return
+		}
+		batch = append(batch, p.direct.join()...)
+	}
+}
+
+// try applies batch to the page and writes it once. It returns the requests
+// that are left if it returns an error.
+func (c *Committer) try(p *page, batch []*request) (left []*request, err error) {
+	fresh, err := c.load(p)
+	if err != nil {
+		return withdrawn(batch), err
+	}
+	batch = begun(batch)
+	now := c.settings.Clock()
+	results, changed := p.apply(batch, now)
+	if !changed && !fresh && !p.mustWrite() {
+		// The page was read before these ops came: it may have changed.
+		p.forget()
+		if _, err = c.load(p); err != nil {
+			retreatAll(batch)
+			return batch, err
+		}
+		results, changed = p.apply(batch, now)
+	}
+	if changed || p.mustWrite() {
+		if err = c.put(p, batch, now); err != nil {
+			return batch, err
+		}
+	}
+	c.answer(batch, results)
+	return nil, nil
+}
+
+// load reads the page unless it is known. It reports whether it has read it.
+func (c *Committer) load(p *page) (fresh bool, err error) {
+	if p.current != nil {
+		return false, nil
+	}
+	entry, err := c.get(c.tomb.Context(nil), p.number)
+	if err != nil {
+		return false, err
+	}
+	decoded, err := ledger.Decode(entry.Value)
+	if err != nil {
+		event.LedgerPageInvalid.Error(c.settings.Log, "page", p.number, "error", err)
+		return false, err
+	}
+	p.current = decoded
+	p.revision = entry.Revision
+	p.fenced = p.fenced && p.fence == entry.Revision
+	p.publish(entry.Value, entry.Revision)
+	return true, nil
+}
+
+// apply applies the ops of batch in order, and reports whether they changed
+// the page.
+func (p *page) apply(batch []*request, now time.Time) (rs []ledger.Result, changed bool) {
+	before := p.current.Changes()
+	for _, rq := range batch {
+		rs = append(rs, p.current.Apply(rq.op, now))
+	}
+	return rs, p.current.Changes() != before
+}
+
+// mustWrite reports whether an earlier write may still take effect.
+func (p *page) mustWrite() bool {
+	return p.fenced
+}
+
+// put writes the page on condition that it has the revision that was read.
+func (c *Committer) put(p *page, batch []*request, now time.Time) error {
+	data, err := c.encode(p, now)
+	if err != nil {
+		p.forget()
+		retreatAll(batch)
+		return err
+	}
+	ctx, cancel := context.WithTimeout(c.tomb.Context(nil), c.settings.Timeout)
+	defer cancel()
+	c.counters.Writes.Add(1)
+	revision, err := c.settings.Store.Put(ctx, ledger.Key(p.number), data, store.If(p.revision), store.NoLease)
+	if err == nil {
+		c.counters.batch(len(batch))
+		p.revision = revision
+		p.fenced = false
+		p.publish(data, revision)
+		return nil
+	}
+	base := p.revision
+	p.forget()
+	if certain(err) {
+		retreatAll(batch)
+		return err
+	}
+	p.fenced = true
+	p.fence = base
+	for _, rq := range batch {
+		rq.unknown = true
+	}
+	return err
+}
+
+// encode drops claims past their retention from time to time, and returns the
+// page's encoding. It returns ledger.ErrPageFull if that is too long to write.
+func (c *Committer) encode(p *page, now time.Time) (data []byte, err error) {
+	if now.Sub(p.pruned) >= c.settings.Retention/pruneFraction {
+		p.current.Prune(now, c.settings.Retention)
+		p.pruned = now
+	}
+	data, err = ledger.Encode(p.current)
+	if err != nil || len(data) <= store.MaxValueSize {
+		return data, err
+	}
+	if p.current.Prune(now, c.settings.Retention) > 0 {
+		data, err = ledger.Encode(p.current)
+	}
+	if len(data) > store.MaxValueSize {
+		return nil, merry.Prependf(ledger.ErrPageFull, "%d bytes", len(data))
+	}
+	return data, err
+}
+
+// pruneFraction is the part of the retention after which a page is pruned.
+const pruneFraction = 32
+
+// certain reports whether a write that failed with err took no effect and will
+// take none.
+func certain(err error) bool {
+	if errors.Is(err, store.ErrUnknown) {
+		return false
+	}
+	return errors.Is(err, store.ErrConflict) || errors.Is(err, store.ErrUnavailable) || errors.Is(err, store.ErrTooLarge)
+}
+
+// forget drops the page, which no longer is as in the service.
+func (p *page) forget() {
+	p.current = nil
+}
+
+// publish keeps the encoding of the page for Peek.
+func (p *page) publish(data []byte, r store.Revision) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.data = data
+	p.dataFrom = r
+	p.known = true
+}
+
+// answer answers each request of batch with its result.
+func (c *Committer) answer(batch []*request, rs []ledger.Result) {
+	c.counters.Ops.Add(int64(len(batch)))
+	for i, rq := range batch {
+		c.log(rq.op, rs[i])
+		if rq.deliver != nil {
+			c.pushed.add(-1)
+		}
+		rq.done(rs[i], nil)
+	}
+}
+
+// divide commits the halves of a batch for which the page has no room. An op
+// that has no room by itself is refused, or, if pushed, repeated later.
+func (c *Committer) divide(p *page, batch []*request, full error) {
+	if n := len(batch); n > 1 {
+		c.commit(p, batch[:n/2])
+		c.commit(p, batch[n/2:])
+		return
+	}
+	rq := batch[0]
+	event.LedgerPageTooLarge.Error(c.settings.Log, "page", p.number, "budget", rq.op.Budget, "error", full)
+	if rq.deliver == nil {
+		rq.done(ledger.Result{}, full)
+		return
+	}
+	c.tomb.Go(func() error {
+		if !c.sleep(c.settings.BackoffLimit) {
+			rq.fail()
+			return nil
+		}
+		c.start(p, false, batch)
+		return nil
+	})
+}
+
+// failed counts and logs a call that did not succeed.
+func (c *Committer) failed(p *page, err error) {
+	if errors.Is(err, store.ErrUnknown) {
+		c.counters.Unknown.Add(1)
+		event.LedgerWriteUnknown.Warn(c.settings.Log, "page", p.number, "error", err)
+		return
+	}
+	c.counters.Unavailable.Add(1)
+	if !p.unavailable {
+		event.LedgerUnavailable.Warn(c.settings.Log, "page", p.number, "error", err)
+	}
+	p.unavailable = true
+}
+
+func (c *Committer) available(p *page) {
+	if p.unavailable {
+		event.LedgerAvailable.Info(c.settings.Log, "page", p.number)
+	}
+	p.unavailable = false
+}
+
+// withdrawn finishes the requests whose callers have withdrawn them, and
+// returns the others.
+func withdrawn(batch []*request) []*request {
+	var left []*request
+	for _, rq := range batch {
+		if rq.ctx.Err() != nil && rq.phase.Load() != phaseWaiting {
+			rq.finished()
+			continue
+		}
+		left = append(left, rq)
+	}
+	return left
+}
+
+func retreatAll(batch []*request) {
+	for _, rq := range batch {
+		rq.retreat()
+	}
+}
+
+func failAll(batch []*request) {
+	for _, rq := range batch {
+		rq.fail()
+	}
+}
--- /dev/null
+++ b/internal/ledger/committer/query.go
@@ -0,0 +1,54 @@
+package committer
+
+import (
+	"context"
+
+	"github.com/ansel1/merry/v2"
+
+	"example.org/lagoonfork/internal/ledger"
+	"example.org/lagoonfork/pkg/store"
+)
+
+// Page reads page n from the key-value service.
+func (c *Committer) Page(ctx context.Context, n int) (p *ledger.Page, err error) {
+	defer func() { err = merry.Prependf(err, "reading ledger page %d", n) }()
+	entry, err := c.get(ctx, n)
+	if err != nil {
+		return nil, err
+	}
+	return ledger.Decode(entry.Value)
+}
+
+// Peek returns page n as it was last read or written, with its revision,
+// without a call. It reports false if the page was never read.
+func (c *Committer) Peek(n int) (p *ledger.Page, r store.Revision, ok bool) {
+	data, r, ok := c.pages[n].last()
+	if !ok {
+		return nil, 0, false
+	}
+	p, err := ledger.Decode(data)
+	return p, r, err == nil
+}
+
+// Pages returns the number of pages.
+func (c *Committer) Pages() int {
+	return len(c.pages)
+}
+
+// Counters returns the counters of c, for publication with expvar.
+func (c *Committer) Counters() *Counters {
+	return &c.counters
+}
+
+func (c *Committer) get(ctx context.Context, n int) (store.Entry, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.settings.Timeout)
+	defer cancel()
+	c.counters.Reads.Add(1)
+	return c.settings.Store.Get(ctx, ledger.Key(n))
+}
+
+func (p *page) last() ([]byte, store.Revision, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.data, p.dataFrom, p.known
+}
