--- /dev/null
+++ b/internal/event/share.go
@@ -0,0 +1,25 @@
+package event
+
+// Events of budget shares.
+var (
+	ShareDrawn = define(250, "share drawn",
+		"Tokens were added to this router's share. Fields: budget, granted, want, pool, reason.")
+	ShareReturned = define(251, "share returned",
+		"Unreserved tokens were handed back to the budget. Fields: budget, returned, reason.")
+	ShareRecalled = define(252, "share recalled",
+		"Another router was asked for tokens of an exhausted budget. Fields: budget, holder, want, returned.")
+	ShareGivenBack = define(253, "share given back",
+		"Tokens were returned at the request of another router. Fields: budget, want, returned.")
+	BudgetExhausted = define(254, "budget exhausted",
+		"A request was refused, not run: no router has tokens left for it. Top up the budget. Fields: budget, tokens, pool.")
+	BudgetOutOfReach = define(255, "budget out of reach",
+		"A request was refused, not run: the share is used up and the key-value service did not answer. Fields: budget, tokens, error.")
+	ShareOutcomeUnknown = define(256, "share outcome unknown",
+		"The answer to a draw or return was lost; it is repeated until its outcome is known. Fields: budget, sequence, error.")
+	ShareInvalidated = define(257, "share invalidated",
+		"This router's share was reclaimed; it starts anew. Frequent ones point to pauses or a short lease. Fields: budget, dropped.")
+	ShareKept = define(258, "reserve kept",
+		"This router holds a reserve of a budget that another failure domain serves. Fields: budget.")
+	SharesClosed = define(259, "shares closed",
+		"All unreserved tokens were handed back at shutdown. Fields: budgets, left.")
+)
--- /dev/null
+++ b/internal/share/keeper.go
@@ -0,0 +1,29 @@
+package share
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"example.org/lagoonfork/pkg/ident"
+)
+
+// Member is a live router with its failure domain.
+type Member struct {
+	Holder ident.Incarnation
+	Domain ident.FailureDomain
+}
+
+// Keepers returns for each failure domain the router that holds a reserve of
+// the budget there although it may not serve it. All routers that know the
+// same members choose the same keepers, and a change of one member moves only
+// that member's budgets.
+func Keepers(budget ident.Budget, members []Member) map[ident.FailureDomain]ident.Incarnation {
+	keepers := make(map[ident.FailureDomain]ident.Incarnation)
+	highest := make(map[ident.FailureDomain]uint64)
+	for _, m := range members {
+		score := xxhash.Sum64String(string(budget) + "/" + string(m.Holder))
+		if _, ok := keepers[m.Domain]; !ok || score > highest[m.Domain] {
+			keepers[m.Domain], highest[m.Domain] = m.Holder, score
+		}
+	}
+	return keepers
+}
--- /dev/null
+++ b/internal/share/share.go
@@ -0,0 +1,200 @@
+// Package share decides how many tokens of a prepaid budget one router holds.
+//
+// A router spends only from its share, so shares decide which router can serve
+// which request when routers cannot reach each other or the key-value service.
+// A large share outlasts a partition; it also withholds tokens from others
+// when the budget runs low. The package weighs the two with pure functions of
+// a State, a Policy and the present time. The ledger page grants the tokens;
+// no decision of this package can overspend a budget.
+//
+// # Usage
+//
+//	policy := share.NewPolicy(configuration.Current().Policy)
+//	switch d := share.Plan(now, state, policy); d.Action {
+//	case share.ActionDraw:   // draw d.Want, at least d.Least
+//	case share.ActionReturn: // return d.Want
+//	case share.ActionRecall: // ask the holders in d.Recalls
+//	}
+package share
+
+import (
+	"math"
+	"time"
+
+	"example.org/lagoonfork/internal/ledger"
+	"example.org/lagoonfork/pkg/tokens"
+)
+
+// State is what a router knows of its share of one budget.
+type State struct {
+	// Free is the unreserved part of the share. Reserved is the rest.
+	Free, Reserved tokens.Count
+	// Needed is the sum of the reservations that wait for tokens, Least the
+	// one to be served next.
+	Needed, Least tokens.Count
+	// Rate and Peak are the present and the highest recent drawing rate in
+	// tokens per second.
+	Rate, Peak float64
+	// Request is the usual size of a reservation.
+	Request tokens.Count
+	// Used is the time of the last reservation, or of the last notice that
+	// another failure domain serves the budget.
+	Used time.Time
+	// Pool is what the budget had left to share out when the ledger last told.
+	Pool tokens.Count
+	// Live is the number of routers that may hold a share, at least 1.
+	Live int
+	// Exhausted reports that the last draw was refused for lack of tokens;
+	// Holders are the other shares that the ledger then listed.
+	Exhausted bool
+	Holders   []ledger.Holding
+}
+
+// Action is what to do with a share.
+type Action string
+
+// Actions.
+const (
+	ActionHold   Action = "hold"
+	ActionDraw   Action = "draw"
+	ActionReturn Action = "return"
+	ActionRecall Action = "recall"
+	// ActionRefuse tells that no holder has tokens for the reservation that is
+	// to be served next.
+	ActionRefuse Action = "refuse"
+)
+
+// Reason tells why an action was chosen.
+type Reason string
+
+// Reasons.
+const (
+	ReasonEnough    Reason = "share suffices"
+	ReasonNeeded    Reason = "requests wait for tokens"
+	ReasonLast      Reason = "budget runs down, exact draw"
+	ReasonRefill    Reason = "refill ahead of need"
+	ReasonReserve   Reason = "reserve ahead of partitions"
+	ReasonIdle      Reason = "share is idle"
+	ReasonExcess    Reason = "share exceeds twice its target"
+	ReasonExhausted Reason = "budget exhausted, others hold tokens"
+	ReasonSpent     Reason = "budget exhausted, no other share has free tokens"
+	ReasonPoolEmpty Reason = "nothing left to draw"
+)
+
+// Decision is what Plan decided.
+type Decision struct {
+	Action Action
+	Reason Reason
+	// Want is the number of tokens to draw or to return, Least the smallest
+	// grant of use.
+	Want, Least tokens.Count
+	// Target is the unreserved number of tokens that the share should hold.
+	Target tokens.Count
+	// Recalls lists whom to ask for tokens, largest free share first.
+	Recalls []Recall
+}
+
+// Recall asks one holder for tokens.
+type Recall struct {
+	Holding ledger.Holding
+	Want    tokens.Count
+}
+
+// Plan decides what to do with a share at the time now. Waiting reservations
+// come first, then the handing back of what is idle, then refills.
+func Plan(now time.Time, s State, p Policy) Decision {
+	d := Decision{Action: ActionHold, Reason: ReasonEnough, Target: target(now, s, p)}
+	switch {
+	case s.Needed > s.Free:
+		return planNeeded(s, d)
+	case s.Needed > 0:
+		return d
+	case s.idle(now, p):
+		return planIdle(s, d)
+	case s.Free > excessFactor*d.Target:
+		return planExcess(s, d)
+	case s.Free < d.Target/refillDivisor || s.Free < s.floor(p) && s.Free < d.Target:
+		return planRefill(s, p, d)
+	}
+	return d
+}
+
+// planNeeded draws for waiting reservations, and beyond them up to the target
+// while the budget has plenty.
+func planNeeded(s State, d Decision) Decision {
+	short := s.Needed - s.Free
+	least := max(s.Least-s.Free, 1)
+	if s.Exhausted {
+		return planRecall(s, d, short, least)
+	}
+	d.Action, d.Reason = ActionDraw, ReasonNeeded
+	d.Want, d.Least = short+d.Target, least
+	if s.Pool > 0 && s.Pool < short+d.Target {
+		d.Reason, d.Want = ReasonLast, short
+	}
+	return d
+}
+
+func planIdle(s State, d Decision) Decision {
+	d.Target = 0
+	if s.Free <= 0 {
+		return d
+	}
+	d.Action, d.Reason, d.Want = ActionReturn, ReasonIdle, s.Free
+	return d
+}
+
+func planExcess(s State, d Decision) Decision {
+	d.Action, d.Reason = ActionReturn, ReasonExcess
+	d.Want = s.Free - d.Target
+	return d
+}
+
+func planRefill(s State, p Policy, d Decision) Decision {
+	if s.Pool <= 0 {
+		d.Reason = ReasonPoolEmpty
+		return d
+	}
+	d.Action, d.Reason = ActionDraw, ReasonRefill
+	if d.Target <= s.floor(p) {
+		d.Reason = ReasonReserve
+	}
+	d.Want, d.Least = d.Target-s.Free, 1
+	return d
+}
+
+const (
+	// refillDivisor sets the level at which a share is refilled: its target
+	// divided by this.
+	refillDivisor = 2
+	// excessFactor sets the level above which a share is trimmed: its target
+	// times this. The gap to the refill level keeps a share from being
+	// returned and drawn in turn.
+	excessFactor = 2
+)
+
+// target returns the unreserved number of tokens that the share should hold.
+func target(now time.Time, s State, p Policy) tokens.Count {
+	if s.idle(now, p) {
+		return 0
+	}
+	rate := s.Rate + p.Lean*max(s.Peak-s.Rate, 0)
+	sized := tokens.Count(math.Min(rate*p.Horizon.Seconds(), math.MaxInt64/4))
+	return min(max(sized, s.floor(p)), s.limit(p))
+}
+
+// floor is the least reserve of a budget in use.
+func (s State) floor(p Policy) tokens.Count {
+	return tokens.Count(p.ReserveRequests) * s.Request
+}
+
+// limit bounds a share by a fraction of what the budget has left, so that
+// shares shrink as the budget runs down.
+func (s State) limit(p Policy) tokens.Count {
+	left := max(s.Pool, 0) + max(s.Free, 0)
+	return tokens.Count(float64(left) * p.FreeFraction / float64(max(s.Live, 1)))
+}
+
+func (s State) idle(now time.Time, p Policy) bool {
+	return now.Sub(s.Used) >= p.IdleLimit
+}
--- /dev/null
+++ b/internal/wallet/wallet.go
@@ -0,0 +1,109 @@
+// Package wallet holds the budget shares of one router.
+//
+// A Wallet reserves tokens for requests from the shares that the ledger has
+// recorded as given to its incarnation. It draws more when a share runs low,
+// asks other routers for theirs when a budget is exhausted, and hands back
+// what is idle. Package share makes the decisions.
+//
+// The ledger is the judge of every bill. The wallet never counts more tokens
+// than the ledger has granted: a draw whose answer was lost is repeated with
+// its sequence number until its outcome is known, and tokens on their way back
+// are withheld first. A holder whose share was reclaimed while it was paused
+// may reserve from what it remembers; the ledger refuses its bills.
+//
+// # Usage
+//
+//	w := wallet.New(wallet.Settings{Holder: incarnation, Ledger: committer, Peers: peers, ...})
+//	defer w.Close(ctx)
+//	r, err := w.Reserve(ctx, now, wallet.Request{Budget: id, Funding: funding, Tokens: bound})
+//	...                     // run the request, settle its claim in the ledger
+//	r.Settle(cost) // the ledger billed it
+//	r.Release()    // or: it is not billed
+//	r.Forfeit()    // or: the ledger answered ShareGone
+package wallet
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"example.org/lagoonfork/internal/ledger"
+	"example.org/lagoonfork/pkg/configuration"
+	"example.org/lagoonfork/pkg/ident"
+	"example.org/lagoonfork/pkg/tokens"
+)
+
+// Refusals of Reserve. Nothing was reserved, and nothing was run.
+var (
+	// ErrExhausted reports that the budget has too few tokens left.
+	ErrExhausted = errors.New("budget exhausted")
+	// ErrOutOfReach reports that the share is used up and more could not be
+	// drawn in time, because the key-value service was out of reach or slow.
+	ErrOutOfReach = errors.New("ledger out of reach and share used up")
+	// ErrClosed reports that the wallet is closing.
+	ErrClosed = errors.New("wallet closed")
+)
+
+// Ledger applies ops to the pages of the ledger.
+type Ledger interface {
+	// Apply returns the result of op. An error that wraps
+	// store.ErrUnavailable or store.ErrConflict tells that op took no effect;
+	// after any other error it may have taken effect.
+	Apply(ctx context.Context, op ledger.Op) (ledger.Result, error)
+}
+
+// Peers reaches the other routers.
+type Peers interface {
+	// Recall asks holder to return want tokens to the budget, and reports how
+	// many it returned.
+	Recall(ctx context.Context, holder ident.Incarnation, budget ident.Budget, want tokens.Count) (tokens.Count, error)
+}
+
+// Settings of a Wallet. Holder, Ledger, Peers, Policy, Live and Clock are
+// required.
+type Settings struct {
+	Holder ident.Incarnation
+	Ledger Ledger
+	Peers  Peers
+	Policy func() configuration.Policy
+	// Live returns the number of live routers.
+	Live  func() int
+	Clock func() time.Time
+	Log   hclog.Logger
+	// Interval is the time between two runs of Maintain in the background. If
+	// it is 0 the owner calls Maintain.
+	Interval time.Duration
+	// Announce, if set, is called when the router begins to serve a budget and
+	// at times while it goes on. It is to tell the budget's keepers in the
+	// other failure domains (share.Keepers), whose wallets then Keep a reserve.
+	// It must not block.
+	Announce func(budget ident.Budget, funding ledger.Funding)
+}
+
+// Request asks for a reservation.
+type Request struct {
+	Budget  ident.Budget
+	Funding ledger.Funding
+	// Tokens is the upper bound of the cost.
+	Tokens tokens.Count
+	// Deadline ends the wait for tokens. If it is zero the policy's allowance
+	// alone does.
+	Deadline time.Time
+}
+
+// Balance is what a wallet holds of one budget.
+type Balance struct {
+	Budget   ident.Budget `json:"budget"`
+	Free     tokens.Count `json:"free"`
+	Reserved tokens.Count `json:"reserved"`
+	// Pool is what the budget had left to share out when the ledger last told.
+	Pool tokens.Count `json:"pool"`
+	// Rate is the drawing rate in tokens per second.
+	Rate float64 `json:"rate"`
+	// Waiting is the number of requests that wait for tokens.
+	Waiting int `json:"waiting"`
+	// Uncertain reports a draw or return whose outcome is not known.
+	Uncertain bool `json:"uncertain"`
+}
