Hold budget shares in a wallet

Cause: a router needs tokens at once, and may spend only what the ledger has recorded as given to it.

Change: the wallet reserves from its share, draws with one op in flight per budget for all who wait, recalls from other holders when a budget is exhausted, repeats ops of unknown outcome with their number, and hands back idle shares. Tokens on their way back are withheld before the op is sent; grants that arrive after the share was invalidated are not counted.

--- a/internal/share/meter.go
+++ b/internal/share/meter.go
@@ -25,10 +25,15 @@
 // Reserve counts a reservation of n tokens.
 func (m *Meter) Reserve(now time.Time, n tokens.Count) {
 	m.Add(now, n)
+	m.Expect(n)
+	m.size += sizeWeight * (float64(n) - m.size)
+}
+
+// Expect sets the usual size of a reservation if none has been seen.
+func (m *Meter) Expect(n tokens.Count) {
 	if m.size == 0 {
 		m.size = float64(n)
 	}
-	m.size += sizeWeight * (float64(n) - m.size)
 }
 
 // Add counts n tokens as drawn; a negative n takes back what a reservation did
--- a/internal/share/policy.go
+++ b/internal/share/policy.go
@@ -19,6 +19,9 @@
 	// FreeFraction bounds all shares together to this part of what is left,
 	// while they are of equal size.
 	FreeFraction float64
+	// SpreadDomains tells to keep a reserve of each budget in use in every
+	// failure domain, also where no router serves it.
+	SpreadDomains bool
 	// IdleLimit is how long a share may go unused before it is handed back.
 	IdleLimit time.Duration
 	// RefusalAllowance is how long a request may wait for tokens.
@@ -69,6 +72,7 @@
 		Horizon:          times(1 + lean*availabilityHorizons),
 		ReserveRequests:  int(between(cautionReserve, availabilityReserve)),
 		FreeFraction:     between(cautionFraction, availabilityFraction),
+		SpreadDomains:    lean > 0,
 		IdleLimit:        times(cautionIdleHorizons + lean*availabilityIdleFactor),
 		RefusalAllowance: allowance,
 	}
--- /dev/null
+++ b/internal/wallet/account.go
@@ -0,0 +1,239 @@
+package wallet
+
+import (
+	"time"
+
+	"example.org/lagoonfork/internal/ledger"
+	"example.org/lagoonfork/internal/share"
+	"example.org/lagoonfork/pkg/ident"
+	"example.org/lagoonfork/pkg/tokens"
+)
+
+// account is the share of one budget. All of its fields but budget are guarded
+// by the lock of the budget's shard.
+type account struct {
+	budget  ident.Budget
+	funding ledger.Funding
+	meter   share.Meter
+
+	// granted is at most what the ledger has granted. reserved and withheld
+	// are parts of it: for requests, and on the way back to the budget.
+	granted, reserved, withheld tokens.Count
+	pool                        tokens.Count
+	used, announced             time.Time
+
+	// epoch counts how often the share was invalidated. doubt tells that the
+	// ledger may have granted more than is counted here.
+	epoch uint32
+	doubt bool
+	open  int // reservations that have not ended
+
+	queue    []*waiter // reservations that wait for tokens, first come first
+	fetching bool      // a goroutine draws for the queue
+	stalled  bool      // the last draw for the queue brought nothing
+	// exhausted and holders are the result of the last draw, failure its error.
+	exhausted bool
+	holders   []ledger.Holding
+	failure   error
+
+	// pending is the draw or return that was sent and whose outcome is not
+	// known; sent is the epoch of then. uncertain tells that it may have taken
+	// effect.
+	// again is the number of a draw that found the budget exhausted, which the
+	// next draw uses if no return comes between.
+	again     uint64
+	pending   *ledger.Op
+	sent      uint32
+	uncertain bool
+	// busy is held by the goroutine that sends ops; idle is closed once it is
+	// free. dropped tells that the account is no longer in the map.
+	busy    bool
+	idle    chan struct{}
+	dropped bool
+}
+
+// waiter is a reservation that waits for tokens. done receives one value.
+type waiter struct {
+	tokens tokens.Count
+	rounds int // of recalls made for it
+	done   chan error
+	epoch  uint32
+}
+
+// open returns the account of a budget, which it creates if there is none, and
+// notes the funding. The shard's lock is held.
+func open(accounts map[ident.Budget]*account, budget ident.Budget, f ledger.Funding) *account {
+	a := accounts[budget]
+	if a == nil {
+		a = &account{budget: budget, pool: f.Prepaid}
+		accounts[budget] = a
+	}
+	a.fund(f)
+	return a
+}
+
+// wholeShare is the number of tokens in a return that hands back all that the
+// ledger has granted. It is the most that an op may carry.
+const wholeShare tokens.Count = 1 << 52
+
+// returnable returns how many of want tokens to hand back. If the account has
+// no reservation, and may have been granted more than it counts, a request for
+// all of its tokens returns the whole share, counted or not.
+func (a *account) returnable(want tokens.Count) tokens.Count {
+	n := max(min(want, a.free()), 0)
+	switch {
+	case len(a.queue) > 0:
+		return 0
+	case a.doubt && a.open == 0 && want >= a.free():
+		return wholeShare
+	}
+	return n
+}
+
+// free returns the tokens that may be reserved.
+func (a *account) free() tokens.Count {
+	return a.granted - a.reserved - a.withheld
+}
+
+// take reserves n tokens if they are free.
+func (a *account) take(n tokens.Count) bool {
+	if a.free() < n {
+		return false
+	}
+	a.reserved += n
+	a.open++
+	return true
+}
+
+// end gives back a reservation made in epoch, of which cost was billed.
+func (a *account) end(epoch uint32, n, cost tokens.Count) {
+	a.open--
+	a.granted -= cost
+	if epoch == a.epoch {
+		a.reserved -= n
+	}
+}
+
+// invalidate drops the share and returns how much of it was free.
+func (a *account) invalidate() (dropped tokens.Count) {
+	dropped = a.free()
+	a.granted, a.reserved, a.withheld = 0, 0, 0
+	a.epoch++
+	a.doubt = true
+	return dropped
+}
+
+// fund keeps the funding with the highest revision.
+func (a *account) fund(f ledger.Funding) {
+	if f.Revision >= a.funding.Revision {
+		a.funding = f
+	}
+}
+
+// grant serves waiting reservations in order. It passes over those that do
+// not fit only if the last draw brought nothing.
+func (a *account) grant() {
+	waiting := a.queue[:0]
+	for i, q := range a.queue {
+		if a.take(q.tokens) {
+			q.epoch = a.epoch
+			q.done <- nil
+			continue
+		}
+		if !a.stalled {
+			waiting = append(waiting, a.queue[i:]...)
+			break
+		}
+		waiting = append(waiting, q)
+	}
+	clear(a.queue[len(waiting):])
+	a.queue = waiting
+}
+
+// refuse answers the first waiter with err.
+func (a *account) refuse(err error) (refused *waiter) {
+	refused = a.queue[0]
+	a.queue = append(a.queue[:0], a.queue[1:]...)
+	refused.done <- err
+	return refused
+}
+
+// leave takes q out of the queue. It reports false if q was answered.
+func (a *account) leave(q *waiter) bool {
+	for i := range a.queue {
+		if a.queue[i] == q {
+			a.queue = append(a.queue[:i], a.queue[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
+
+// state returns what share.Plan needs to know.
+func (a *account) state(now time.Time, live int) share.State {
+	s := share.State{
+		Free:      a.free(),
+		Reserved:  a.reserved,
+		Request:   a.meter.Request(),
+		Used:      a.used,
+		Pool:      a.pool,
+		Live:      live,
+		Exhausted: a.exhausted,
+		Holders:   a.holders,
+	}
+	s.Rate, s.Peak = a.meter.Rates(now)
+	for _, q := range a.queue {
+		s.Needed += q.tokens
+	}
+	if len(a.queue) > 0 {
+		s.Least = a.queue[0].tokens
+	}
+	return s
+}
+
+// prepare makes op the pending one. Tokens on their way back are withheld
+// before the op is sent.
+func (a *account) prepare(op ledger.Op) {
+	a.pending, a.sent, a.uncertain = &op, a.epoch, false
+	if op.Return != nil {
+		a.withheld += op.Return.Tokens
+	}
+}
+
+// cancel forgets the pending op, which took no effect.
+func (a *account) cancel() {
+	if a.pending.Return != nil && a.sent == a.epoch {
+		a.withheld -= a.pending.Return.Tokens
+	}
+	a.pending = nil
+}
+
+// record takes in the result of the pending op. Grants to a share that was
+// invalidated meanwhile are not counted.
+func (a *account) record(result ledger.Result) {
+	op, current := a.pending, a.sent == a.epoch
+	a.cancel()
+	a.pool = result.Free
+	switch {
+	case op.Draw != nil:
+		if a.exhausted = result.Outcome == ledger.Exhausted; a.exhausted {
+			a.again = op.Draw.Sequence
+		}
+		a.holders = result.Holders
+		if result.Outcome == ledger.Applied && current {
+			a.granted += result.Granted
+		}
+	case result.Outcome == ledger.Applied && op.Return.Tokens == wholeShare:
+		a.granted, a.doubt = 0, false
+	case result.Outcome == ledger.Applied && current:
+		a.granted -= result.Granted
+	case result.Outcome == ledger.ShareGone && current:
+		a.invalidate()
+	}
+}
+
+// removable reports whether the account holds nothing worth keeping.
+func (a *account) removable(now time.Time, p share.Policy) bool {
+	inUse := a.doubt || a.busy || a.fetching || a.idle != nil || a.pending != nil || a.open > 0 || len(a.queue) > 0
+	return !inUse && a.granted == 0 && now.Sub(a.used) >= p.IdleLimit
+}
--- /dev/null
+++ b/internal/wallet/reservation.go
@@ -0,0 +1,222 @@
+package wallet
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"example.org/lagoonfork/internal/event"
+	"example.org/lagoonfork/internal/ledger"
+	"example.org/lagoonfork/internal/share"
+	"example.org/lagoonfork/pkg/ident"
+	"example.org/lagoonfork/pkg/tokens"
+)
+
+// Reservation is tokens set aside for one request. It ends once, with the
+// first call of Settle, Release or Forfeit; further calls do nothing.
+type Reservation struct {
+	wallet  *Wallet
+	account *account
+	tokens  tokens.Count
+	epoch   uint32
+	ended   atomic.Bool
+}
+
+// Reserve sets aside r.Tokens, from the share at once if it suffices. If not,
+// it waits until tokens have been drawn or other holders have returned some,
+// at most as long as the policy's refusal allowance and until r.Deadline. The
+// error is that of ctx or wraps ErrExhausted, ErrOutOfReach or ErrClosed;
+// nothing is reserved then.
+func (w *Wallet) Reserve(ctx context.Context, now time.Time, r Request) (_ *Reservation, err error) {
+	res := &Reservation{wallet: w, tokens: max(r.Tokens, 0)}
+	q, notice, err := w.admit(now, r, res)
+	if notice != nil {
+		w.Announce(*notice)
+	}
+	if q == nil && err == nil {
+		return res, nil
+	}
+	defer func() { err = merry.Prependf(err, "reserving %d tokens of budget %s", r.Tokens, r.Budget) }()
+	if err == nil {
+		err = w.await(ctx, now, r, res, q)
+	}
+	if err != nil {
+		w.logRefusal(r, res, err)
+		return nil, err
+	}
+	return res, nil
+}
+
+// admit takes the tokens from the share, or returns the waiter that it put
+// into the queue.
+func (w *Wallet) admit(now time.Time, r Request, res *Reservation) (q *waiter, notice *Notice, err error) {
+	policy := share.NewPolicy(w.Policy())
+	w.accounts.Do(r.Budget, func(accounts map[ident.Budget]*account) {
+		if w.closed.Load() {
+			err = ErrClosed
+			return
+		}
+		a := open(accounts, r.Budget, r.Funding)
+		a.used = now
+		res.account = a
+		a.meter.Reserve(now, res.tokens)
+		if w.Announce != nil && policy.SpreadDomains && now.Sub(a.announced) >= policy.IdleLimit/announceDivisor {
+			a.announced = now
+			notice = &Notice{Budget: r.Budget, Funding: a.funding, Request: a.meter.Request()}
+		}
+		if (len(a.queue) == 0 || a.stalled) && a.take(res.tokens) {
+			res.epoch = a.epoch
+			return
+		}
+		q = &waiter{tokens: res.tokens, done: make(chan error, 1)}
+		a.queue = append(a.queue, q)
+		w.startFetch(a)
+	})
+	return q, notice, err
+}
+
+// announceDivisor sets how many notices of a budget in use are sent before a
+// keeper that hears none would take it for idle.
+const announceDivisor = 3
+
+// await waits until q is answered or its time is over.
+func (w *Wallet) await(ctx context.Context, now time.Time, r Request, res *Reservation, q *waiter) error {
+	limit := share.NewPolicy(w.Policy()).RefusalAllowance
+	if !r.Deadline.IsZero() {
+		limit = min(limit, r.Deadline.Sub(now))
+	}
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	var late error
+	select {
+	case err := <-q.done:
+		res.epoch = q.epoch
+		return err
+	case <-timer.C:
+	case <-ctx.Done():
+		late = ctx.Err()
+	case <-w.t.Dying():
+		late = ErrClosed
+	}
+	return w.giveUp(res, q, late)
+}
+
+// giveUp takes q out of the queue, unless it was answered at the last moment.
+func (w *Wallet) giveUp(res *Reservation, q *waiter, late error) (err error) {
+	a := res.account
+	w.do(a, func() {
+		switch {
+		case !a.leave(q):
+			err = <-q.done
+			res.epoch = q.epoch
+		case late != nil:
+			err = late
+		case a.exhausted:
+			err = ErrExhausted
+		default:
+			err = outOfReach(a.failure)
+		}
+	})
+	if err == nil && late != nil {
+		res.Release()
+		return late
+	}
+	return err
+}
+
+// outOfReach returns ErrOutOfReach with its cause.
+func outOfReach(cause error) error {
+	if cause == nil {
+		return ErrOutOfReach
+	}
+	return merry.Prepend(ErrOutOfReach, cause.Error())
+}
+
+func (w *Wallet) logRefusal(r Request, res *Reservation, err error) {
+	if res.account == nil {
+		return
+	}
+	var pool tokens.Count
+	w.do(res.account, func() {
+		res.account.meter.Add(w.Clock(), -res.tokens)
+		pool = res.account.pool
+	})
+	switch {
+	case errors.Is(err, ErrExhausted):
+		event.BudgetExhausted.Warn(w.Log, "budget", r.Budget, "tokens", r.Tokens, "pool", pool)
+	case errors.Is(err, ErrOutOfReach):
+		event.BudgetOutOfReach.Warn(w.Log, "budget", r.Budget, "tokens", r.Tokens, "error", err)
+	}
+}
+
+// Adopt returns a reservation for an open claim whose tokens the ledger has
+// moved from another holder's share to this one's (ledger.TakeOver).
+func (w *Wallet) Adopt(now time.Time, budget ident.Budget, funding ledger.Funding, n tokens.Count) *Reservation {
+	r := &Reservation{wallet: w, tokens: n}
+	w.accounts.Do(budget, func(accounts map[ident.Budget]*account) {
+		a := open(accounts, budget, funding)
+		a.used = now
+		a.granted += n
+		a.reserved += n
+		a.open++
+		r.account, r.epoch = a, a.epoch
+	})
+	return r
+}
+
+// Settle ends the reservation after the ledger billed cost to the share, and
+// frees the rest. If another holder took over the claim with its tokens, the
+// whole of them counts as cost.
+func (r *Reservation) Settle(cost tokens.Count) {
+	r.end(cost)
+}
+
+// Release ends the reservation without a bill and frees its tokens.
+func (r *Reservation) Release() {
+	r.end(0)
+}
+
+// Forfeit ends the reservation after the ledger answered that the share is
+// gone. The rest of the share is dropped as well, unless it was drawn anew
+// since the reservation was made.
+func (r *Reservation) Forfeit() {
+	if r.ended.Swap(true) {
+		return
+	}
+	var dropped tokens.Count
+	var gone bool
+	r.wallet.do(r.account, func() {
+		r.account.end(r.epoch, r.tokens, 0)
+		if gone = r.epoch == r.account.epoch; gone {
+			dropped = r.account.invalidate()
+		}
+	})
+	if gone {
+		event.ShareInvalidated.Warn(r.wallet.Log, "budget", r.account.budget, "dropped", dropped)
+	}
+}
+
+func (r *Reservation) end(cost tokens.Count) {
+	if r.ended.Swap(true) {
+		return
+	}
+	now := r.wallet.Clock()
+	r.wallet.do(r.account, func() {
+		r.account.end(r.epoch, r.tokens, cost)
+		r.account.meter.Add(now, cost-r.tokens)
+		r.account.grant()
+	})
+}
+
+// Budget returns the budget that the tokens belong to.
+func (r *Reservation) Budget() ident.Budget {
+	return r.account.budget
+}
+
+// Tokens returns the number of tokens set aside.
+func (r *Reservation) Tokens() tokens.Count {
+	return r.tokens
+}
--- a/internal/wallet/wallet.go
+++ b/internal/wallet/wallet.go
@@ -25,11 +25,15 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/hashicorp/go-hclog"
+	"gopkg.in/tomb.v2"
 
 	"example.org/lagoonfork/internal/ledger"
+	"example.org/lagoonfork/internal/shard"
 	"example.org/lagoonfork/pkg/configuration"
 	"example.org/lagoonfork/pkg/ident"
 	"example.org/lagoonfork/pkg/tokens"
@@ -76,10 +80,19 @@
 	// it is 0 the owner calls Maintain.
 	Interval time.Duration
 	// Announce, if set, is called when the router begins to serve a budget and
-	// at times while it goes on. It is to tell the budget's keepers in the
-	// other failure domains (share.Keepers), whose wallets then Keep a reserve.
-	// It must not block.
-	Announce func(budget ident.Budget, funding ledger.Funding)
+	// at times while it goes on, under a policy that spreads reserves over
+	// failure domains. It is to bring the notice to the budget's keepers in
+	// the other domains (share.Keepers), whose wallets then Keep a reserve. It
+	// must not block.
+	Announce func(Notice)
+}
+
+// Notice tells that a budget is being served.
+type Notice struct {
+	Budget  ident.Budget   `json:"budget"`
+	Funding ledger.Funding `json:"funding"`
+	// Request is the usual size of a reservation.
+	Request tokens.Count `json:"request"`
 }
 
 // Request asks for a reservation.
@@ -93,17 +106,57 @@
 	Deadline time.Time
 }
 
-// Balance is what a wallet holds of one budget.
-type Balance struct {
-	Budget   ident.Budget `json:"budget"`
-	Free     tokens.Count `json:"free"`
-	Reserved tokens.Count `json:"reserved"`
-	// Pool is what the budget had left to share out when the ledger last told.
-	Pool tokens.Count `json:"pool"`
-	// Rate is the drawing rate in tokens per second.
-	Rate float64 `json:"rate"`
-	// Waiting is the number of requests that wait for tokens.
-	Waiting int `json:"waiting"`
-	// Uncertain reports a draw or return whose outcome is not known.
-	Uncertain bool `json:"uncertain"`
+// Wallet is the shares of one router. Its methods are safe for concurrent use.
+type Wallet struct {
+	Settings
+	accounts *shard.Map[ident.Budget, *account]
+	sequence atomic.Uint64
+	closed   atomic.Bool
+	t        tomb.Tomb
+	ctx      context.Context // of the ops that no caller waits for
+}
+
+// New returns a wallet without tokens and starts its background work, which
+// ends with Close.
+func New(s Settings) *Wallet {
+	if s.Log == nil {
+		s.Log = hclog.NewNullLogger()
+	}
+	w := &Wallet{Settings: s, accounts: shard.NewMap[ident.Budget, *account]()}
+	w.ctx = w.t.Context(context.Background())
+	w.t.Go(w.run)
+	return w
+}
+
+// run maintains the shares until the wallet closes.
+func (w *Wallet) run() error {
+	if w.Interval <= 0 {
+		<-w.t.Dying()
+		return nil
+	}
+	ticker := time.NewTicker(w.Interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			w.Maintain(w.ctx, w.Clock())
+		case <-w.t.Dying():
+			return nil
+		}
+	}
+}
+
+// Close refuses new reservations, returns all unreserved tokens to their
+// budgets, and waits. Reservations should have ended before. An error tells
+// that some tokens could not be returned; the ledger reclaims those with the
+// holder's lease.
+func (w *Wallet) Close(ctx context.Context) (err error) {
+	defer func() { err = merry.Prepend(err, "closing shares") }()
+	w.closed.Store(true)
+	w.accounts.Each(func(ident.Budget, *account) {}) // waits for reservations that saw the wallet open
+	w.t.Kill(nil)
+	if err := w.t.Wait(); err != nil {
+		return err
+	}
+	return w.returnAll(ctx)
 }
