--- /dev/null
+++ b/pkg/engine/engine.go
@@ -0,0 +1,234 @@
+// Package engine defines what a router and a model engine say to each other:
+// paths, headers, and the bodies of calls.
+//
+// The inference calls follow the published OpenAI chat-completions format, with
+// its snake case names. All other bodies use camel case.
+//
+// An engine numbers the tokens of an answer from 1 by the id lines of the
+// server-sent events. A chunk that carries no token has no id line. The engine
+// repeats the X-Request-Id and X-Attempt-Id of each call in its response
+// headers, and the attempt in the id field of every chunk, so that a reader can
+// tell an answer that is not its own.
+//
+// An engine goes on with a run whose reader is gone, until the run ends or is
+// cancelled. It keeps the run for some time, so that another reader can resume
+// it after any token.
+//
+// # Usage
+//
+// A reader of a stream collects the chunks into one whole completion:
+//
+//	completion, err := engine.Collect(ctx, stream, attempt, model)
+//
+// Package engine/enginetest holds the contract that every engine keeps.
+package engine
+
+import (
+	"time"
+
+	"example.org/lagoonfork/pkg/ident"
+	"example.org/lagoonfork/pkg/tokens"
+)
+
+// Paths of the calls.
+const (
+	PathCompletions = "/v1/chat/completions"
+	PathModels      = "/v1/models"
+	PathStreams     = "/v1/streams/" // followed by the request identifier
+	PathLoad        = "/load"
+	PathCacheEvents = "/cache/events" // with the query parameter after
+	PathCacheExport = "/cache/export"
+	PathCacheImport = "/cache/import"
+	PathOrders      = "/orders"
+)
+
+// Headers of the calls and of their responses.
+const (
+	HeaderRequest     = "X-Request-Id"
+	HeaderAttempt     = "X-Attempt-Id"
+	HeaderPriority    = "X-Priority"
+	HeaderCacheKey    = "X-Cache-Key"
+	HeaderLastEventID = "Last-Event-ID"
+	// HeaderNotRun has the value "true" on a refusal that comes with the
+	// promise that nothing was run.
+	HeaderNotRun = "X-Not-Run"
+)
+
+// Done is the data of the last event of a whole stream.
+const Done = "[DONE]"
+
+// Reasons why an answer ends.
+const (
+	FinishStop   = "stop"
+	FinishLength = "length"
+)
+
+// Usage counts the tokens of a request.
+type Usage struct {
+	PromptTokens     tokens.Count   `json:"prompt_tokens"`
+	CompletionTokens tokens.Count   `json:"completion_tokens"`
+	TotalTokens      tokens.Count   `json:"total_tokens"`
+	Details          *PromptDetails `json:"prompt_tokens_details,omitempty"`
+}
+
+// PromptDetails tells how much of a prompt was found in the cache.
+type PromptDetails struct {
+	CachedTokens tokens.Count `json:"cached_tokens"`
+}
+
+// Message is one message of a conversation.
+type Message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// Completion is a whole answer.
+type Completion struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"` // "chat.completion"
+	Created int64    `json:"created"`
+	Model   string   `json:"model"`
+	Choices []Choice `json:"choices"`
+	Usage   *Usage   `json:"usage,omitempty"`
+}
+
+// Choice is one alternative of a whole answer.
+type Choice struct {
+	Index        int     `json:"index"`
+	Message      Message `json:"message"`
+	FinishReason string  `json:"finish_reason"`
+}
+
+// Chunk is a part of a streamed answer.
+type Chunk struct {
+	ID      string        `json:"id"`
+	Object  string        `json:"object"` // "chat.completion.chunk"
+	Created int64         `json:"created"`
+	Model   string        `json:"model"`
+	Choices []ChunkChoice `json:"choices"`
+	Usage   *Usage        `json:"usage,omitempty"`
+}
+
+// ChunkChoice is the part of one alternative in a chunk.
+type ChunkChoice struct {
+	Index        int     `json:"index"`
+	Delta        Delta   `json:"delta"`
+	FinishReason *string `json:"finish_reason"`
+}
+
+// Delta is what a chunk adds to a message.
+type Delta struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content,omitempty"`
+}
+
+// ModelList is the answer to a call of PathModels.
+type ModelList struct {
+	Object string      `json:"object"` // "list"
+	Data   []ModelCard `json:"data"`
+}
+
+// ModelCard names one model.
+type ModelCard struct {
+	ID      ident.Model `json:"id"`
+	Object  string      `json:"object"` // "model"
+	Created int64       `json:"created"`
+	OwnedBy string      `json:"owned_by"`
+}
+
+// Load is what an engine reports of itself. It describes the engine as it was
+// at AsOf, which may be well before the report is read.
+type Load struct {
+	Slots         int           `json:"slots"`
+	Running       int           `json:"running"`
+	Queued        int           `json:"queued"`
+	QueuedTokens  tokens.Count  `json:"queuedTokens"`
+	RunningTokens tokens.Count  `json:"runningTokens"`
+	LoadedModels  []LoadedModel `json:"loadedModels"`
+	AsOf          time.Time     `json:"asOf"`
+	Leaving       bool          `json:"leaving"`
+	Role          Role          `json:"role,omitempty"`
+}
+
+// LoadedModel is a model, at one version and with one adapter or none, that an
+// engine can run at once.
+type LoadedModel struct {
+	Model   ident.Model `json:"model"`
+	Version string      `json:"version,omitempty"`
+	Adapter string      `json:"adapter,omitempty"`
+}
+
+// CacheEventKind tells what became of a cached prefix.
+type CacheEventKind string
+
+// Kinds of cache events.
+const (
+	CacheStored  CacheEventKind = "stored"
+	CacheEvicted CacheEventKind = "evicted"
+)
+
+// CacheEvent reports a change of an engine's prefix cache. Events come late. A
+// gap in the sequence means that events were lost and that what is known of
+// the cache no longer holds.
+type CacheEvent struct {
+	Sequence uint64         `json:"sequence"`
+	Kind     CacheEventKind `json:"kind"`
+	Key      string         `json:"key"` // the X-Cache-Key of the request that stored it
+	Tokens   tokens.Count   `json:"tokens"`
+}
+
+// CacheEvents is the answer to a call of PathCacheEvents.
+type CacheEvents struct {
+	Events []CacheEvent `json:"events"`
+}
+
+// CacheEntry is an exported prefix. Data is opaque to the router.
+type CacheEntry struct {
+	Key    string       `json:"key"`
+	Tokens tokens.Count `json:"tokens"`
+	Data   []byte       `json:"data"`
+}
+
+// OrderKind tells what an order asks for.
+type OrderKind string
+
+// Kinds of orders.
+const (
+	OrderLoadModel   OrderKind = "loadModel"
+	OrderUnloadModel OrderKind = "unloadModel"
+	OrderLoadAdapter OrderKind = "loadAdapter"
+	OrderChangeRole  OrderKind = "changeRole"
+)
+
+// Role is the part of the work that an engine does.
+type Role string
+
+// Roles of engines.
+const (
+	RoleMixed   Role = "mixed"
+	RolePrefill Role = "prefill"
+	RoleDecode  Role = "decode"
+)
+
+// Order is a command to an engine. An engine that checks fencing numbers
+// refuses an order with a lower number than the highest it has seen.
+type Order struct {
+	FencingNumber uint64      `json:"fencingNumber"`
+	Kind          OrderKind   `json:"kind"`
+	Model         ident.Model `json:"model,omitempty"`
+	Version       string      `json:"version,omitempty"`
+	Adapter       string      `json:"adapter,omitempty"`
+	Role          Role        `json:"role,omitempty"`
+}
+
+// Event is one event of a stream, checked to belong to its attempt.
+type Event struct {
+	// Index is the number of the token, from 1, or 0 if the event carries none.
+	Index        int
+	Text         string
+	FinishReason string
+	Usage        *Usage
+	// Raw is the chunk as the engine sent it. It is valid until the next call
+	// of Next. It is nil for the end of an answer that was cut.
+	Raw []byte
+}
