--- /dev/null
+++ b/internal/event/routing.go
@@ -0,0 +1,15 @@
+package event
+
+// Events of routing and upstreams.
+var (
+	RouteChosen = define(301, "route chosen",
+		"A request goes to an upstream. Fields: reason, expectedWait, cachedTokens, candidates.")
+	RouteMissing = define(302, "no upstream available",
+		"All upstreams of a service are leaving or failed. Check the upstreams.")
+	RetryDecided = define(303, "retry decided",
+		"An attempt failed; field reason tells why it is or is not repeated.")
+	UpstreamCrashed = define(304, "upstream crashed",
+		"An upstream died with the request in flight; the request is accused.")
+	CancelFailed = define(305, "cancel failed",
+		"A run that nobody waits for could not be cancelled at its upstream.")
+)
--- /dev/null
+++ b/internal/replay/book.go
@@ -0,0 +1,80 @@
+package replay
+
+import (
+	"errors"
+	"time"
+
+	"example.org/lagoonfork/internal/shard"
+)
+
+// ErrKeyReused reports that an idempotency key was used for another request.
+var ErrKeyReused = errors.New("idempotency key used for another request")
+
+// Key identifies an answer in a book.
+type Key string
+
+// Book holds the answers of keyed requests. Its methods are safe for concurrent
+// use.
+type Book[P, E any] struct {
+	entries *shard.Map[Key, entry[P, E]]
+}
+
+type entry[P, E any] struct {
+	answer *Answer[P, E]
+	digest string
+	begun  time.Time
+}
+
+// NewBook returns an empty book.
+func NewBook[P, E any]() *Book[P, E] {
+	return &Book[P, E]{entries: shard.NewMap[Key, entry[P, E]]()}
+}
+
+// Begin returns the answer of key, and whether it was begun by this call, in
+// which case the caller has to produce it. It returns ErrKeyReused if the key
+// belongs to a request with another digest.
+func (b *Book[P, E]) Begin(now time.Time, key Key, digest string) (answer *Answer[P, E], began bool, err error) {
+	b.entries.Do(key, func(entries map[Key]entry[P, E]) {
+		e, ok := entries[key]
+		switch {
+		case !ok:
+			e = entry[P, E]{answer: new(Answer[P, E]), digest: digest, begun: now}
+			entries[key] = e
+			began = true
+		case e.digest != digest:
+			err = ErrKeyReused
+			return
+		}
+		answer = e.answer
+	})
+	return answer, began, err
+}
+
+// Drop removes an answer, so that the next request with its key runs again.
+func (b *Book[P, E]) Drop(key Key) {
+	b.entries.Delete(key)
+}
+
+// Expire removes the ended answers that were begun before limit.
+func (b *Book[P, E]) Expire(limit time.Time) {
+	var old []Key
+	b.entries.Each(func(key Key, e entry[P, E]) {
+		if e.begun.Before(limit) && e.answer.Ended() {
+			old = append(old, key)
+		}
+	})
+	for _, key := range old {
+		b.entries.Delete(key)
+	}
+}
+
+// Find returns the answer of key, if it is held.
+func (b *Book[P, E]) Find(key Key) (answer *Answer[P, E], ok bool) {
+	e, ok := b.entries.Get(key)
+	return e.answer, ok
+}
+
+// Len returns the number of answers held.
+func (b *Book[P, E]) Len() int {
+	return b.entries.Len()
+}
