--- a/internal/event/routing.go
+++ b/internal/event/routing.go
@@ -13,3 +13,15 @@
 	CancelFailed = define(305, "cancel failed",
 		"A run that nobody waits for could not be cancelled at its upstream.")
 )
+
+// Events of the surveillance of upstreams.
+var (
+	QuarantineNotWritten = define(310, "quarantine not written",
+		"The list of crashing requests could not be exchanged with the key-value service; it is tried again.")
+	LoadNotRead = define(311, "load not read",
+		"An upstream did not report its load. It takes no new work for a while.")
+	UpstreamLeaving = define(312, "upstream leaving",
+		"An upstream takes no new work. Field source tells who said so.")
+	UpstreamStaying = define(313, "upstream staying",
+		"An upstream takes new work again.")
+)
--- /dev/null
+++ b/internal/peerapi/peerapi.go
@@ -0,0 +1,240 @@
+// Package peerapi is the endpoint that a router offers to its peers and to the
+// operators' commands. Every call needs the fleet's secret.
+//
+// # Usage
+//
+//	http.Serve(listener, peerapi.New(peerapi.Settings{...}))
+package peerapi
+
+import (
+	"context"
+	"crypto/subtle"
+	"encoding/json"
+	"errors"
+	"expvar"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"goji.io"
+	"goji.io/pat"
+
+	"example.org/lagoonfork/internal/directory"
+	"example.org/lagoonfork/internal/dispatch"
+	"example.org/lagoonfork/internal/event"
+	"example.org/lagoonfork/internal/journal"
+	"example.org/lagoonfork/internal/ledger"
+	"example.org/lagoonfork/internal/peerclient"
+	"example.org/lagoonfork/internal/replay"
+	"example.org/lagoonfork/internal/routing"
+	"example.org/lagoonfork/internal/wallet"
+	"example.org/lagoonfork/pkg/ident"
+	"example.org/lagoonfork/pkg/tokens"
+)
+
+// maxBody bounds the body of a call, in bytes.
+const maxBody = 16 << 20
+
+// Settings of the endpoint. All fields are required.
+type Settings struct {
+	Secret     string
+	Dispatcher *dispatch.Dispatcher
+	Wallet     *wallet.Wallet
+	Ledger     Ledger
+	Directory  *directory.Directory
+	Journal    *journal.Journal
+	Status     func() peerclient.Status
+	// Configuration serves the parts of the configuration in force under
+	// peerclient.PathConfig.
+	Configuration http.Handler
+	Clock         func() time.Time
+	Log           hclog.Logger
+}
+
+// Ledger takes ops of other routers.
+type Ledger interface {
+	Push(op ledger.Op, done func(ledger.Result))
+	ApplyLocal(ctx context.Context, page int, ops []ledger.Op) ([]ledger.Result, error)
+}
+
+// Handler is the endpoint.
+type Handler struct {
+	Settings
+	mux *goji.Mux
+}
+
+// New returns the endpoint.
+func New(s Settings) *Handler {
+	h := &Handler{Settings: s, mux: goji.NewMux()}
+	h.mux.HandleFunc(pat.Get(peerclient.PathStatus), h.status)
+	h.mux.HandleFunc(pat.Get(peerclient.PathAnswers), h.answer)
+	h.mux.HandleFunc(pat.Post(peerclient.PathRecords), h.records)
+	h.mux.HandleFunc(pat.Post(peerclient.PathRecall), h.recall)
+	h.mux.HandleFunc(pat.Post(peerclient.PathKeep), h.keep)
+	h.mux.HandleFunc(pat.Post(peerclient.PathLedger+":page"), h.apply)
+	h.mux.HandleFunc(pat.Get(peerclient.PathUpstreams), h.upstreams)
+	h.mux.HandleFunc(pat.Post(peerclient.PathUpstreams+"/:upstream/drain"), h.drain)
+	h.mux.HandleFunc(pat.Get(peerclient.PathCustomers), h.customers)
+	h.mux.HandleFunc(pat.Get(peerclient.PathRequests+":request"), h.request)
+	h.mux.Handle(pat.Get(peerclient.PathConfig+"*"), s.Configuration)
+	h.mux.Handle(pat.Get("/debug/vars"), expvar.Handler())
+	return h
+}
+
+// ServeHTTP answers a call that carries the secret.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	given := []byte(r.Header.Get(peerclient.SecretHeader))
+	if subtle.ConstantTimeCompare(given, []byte(h.Secret)) != 1 {
+		event.PeerRefused.Warn(h.Log, "remote", r.RemoteAddr, "path", r.URL.Path)
+		http.Error(w, "the fleet's secret is missing or wrong", http.StatusUnauthorized)
+		return
+	}
+	r.Body = http.MaxBytesReader(w, r.Body, maxBody)
+	h.mux.ServeHTTP(w, r)
+}
+
+func (h *Handler) status(w http.ResponseWriter, _ *http.Request) {
+	reply(w, h.Status())
+}
+
+// answer waits a while for the end of an answer. Status 202 asks the peer to
+// call again.
+func (h *Handler) answer(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), peerclient.AnswerWait)
+	defer cancel()
+	held, err := h.Dispatcher.Await(ctx, replay.Key(r.URL.Query().Get("key")))
+	switch {
+	case errors.Is(err, dispatch.ErrNotHeld):
+		http.Error(w, err.Error(), http.StatusNotFound)
+	case err != nil:
+		w.WriteHeader(http.StatusAccepted)
+	default:
+		reply(w, held)
+	}
+}
+
+// records takes over bills of a router that cannot reach the key-value service.
+func (h *Handler) records(w http.ResponseWriter, r *http.Request) {
+	ops, ok := read[[]ledger.Op](w, r)
+	if !ok {
+		return
+	}
+	for _, op := range ops {
+		h.Ledger.Push(op, func(ledger.Result) {})
+	}
+	event.RecordsTaken.Info(h.Log, "ops", len(ops))
+	reply(w, struct{}{})
+}
+
+func (h *Handler) recall(w http.ResponseWriter, r *http.Request) {
+	in, ok := read[struct {
+		Budget ident.Budget `json:"budget"`
+		Want   tokens.Count `json:"want"`
+	}](w, r)
+	if !ok {
+		return
+	}
+	returned := h.Wallet.GiveBack(r.Context(), in.Budget, in.Want)
+	reply(w, struct {
+		Returned tokens.Count `json:"returned"`
+	}{returned})
+}
+
+func (h *Handler) keep(w http.ResponseWriter, r *http.Request) {
+	in, ok := read[struct {
+		Budget  ident.Budget   `json:"budget"`
+		Funding ledger.Funding `json:"funding"`
+	}](w, r)
+	if !ok {
+		return
+	}
+	h.Wallet.Keep(h.Clock(), in.Budget, in.Funding)
+	reply(w, struct{}{})
+}
+
+// apply applies ops to a page that this router owns.
+func (h *Handler) apply(w http.ResponseWriter, r *http.Request) {
+	page, err := strconv.Atoi(pat.Param(r, "page"))
+	if err != nil {
+		http.Error(w, "page: not a number", http.StatusBadRequest)
+		return
+	}
+	ops, ok := read[[]ledger.Op](w, r)
+	if !ok {
+		return
+	}
+	results, err := h.Ledger.ApplyLocal(r.Context(), page, ops)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	reply(w, results)
+}
+
+func (h *Handler) upstreams(w http.ResponseWriter, _ *http.Request) {
+	type row struct {
+		Service ident.Service `json:"service"`
+		routing.Status
+	}
+	rows := []row{}
+	for _, s := range h.Directory.All() {
+		for _, status := range s.Table.Status() {
+			rows = append(rows, row{s.Configuration.ID, status})
+		}
+	}
+	reply(w, rows)
+}
+
+// drain stops new work for an upstream, on the operator's word.
+func (h *Handler) drain(w http.ResponseWriter, r *http.Request) {
+	id := ident.Upstream(pat.Param(r, "upstream"))
+	for _, s := range h.Directory.All() {
+		if s.Table.Leave(id, routing.SourceOperator, true) {
+			event.UpstreamLeaving.Info(h.Log, "upstream", id, "source", "operator")
+		}
+	}
+	reply(w, struct {
+		Upstream ident.Upstream `json:"upstream"`
+	}{id})
+}
+
+func (h *Handler) customers(w http.ResponseWriter, _ *http.Request) {
+	type row struct {
+		Service  ident.Service  `json:"service"`
+		Customer ident.Customer `json:"customer"`
+		InFlight tokens.Count   `json:"inFlightTokens"`
+		Waiting  int            `json:"waitingRequests"`
+	}
+	rows := []row{}
+	for _, s := range h.Directory.All() {
+		for customer, load := range s.Gate.Loads() {
+			rows = append(rows, row{s.Configuration.ID, customer, load.InFlight, load.Waiting})
+		}
+	}
+	reply(w, rows)
+}
+
+func (h *Handler) request(w http.ResponseWriter, r *http.Request) {
+	entries := h.Journal.Find(ident.Request(pat.Param(r, "request")))
+	if entries == nil {
+		entries = []journal.Entry{}
+	}
+	reply(w, entries)
+}
+
+// read decodes the body of a call, and refuses the call if it is malformed.
+func read[T any](w http.ResponseWriter, r *http.Request) (in T, ok bool) {
+	decoder := json.NewDecoder(r.Body)
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&in); err != nil {
+		http.Error(w, "body: "+err.Error(), http.StatusBadRequest)
+		return in, false
+	}
+	return in, true
+}
+
+func reply(w http.ResponseWriter, out any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(out) // the peer may have gone
+}
--- /dev/null
+++ b/internal/quarantine/keeper/keeper.go
@@ -0,0 +1,204 @@
+// Package keeper keeps the list of requests that crash upstreams, in memory and
+// in the key-value service.
+//
+// A Keeper answers from memory. Accusations are written to the service by
+// compare-and-swap in the background, joined with those of other routers, and
+// read again at an interval. While the service is out of reach, the router's
+// own accusations stand.
+//
+// # Usage
+//
+//	k := keeper.New(keeper.Settings{Store: s, Clock: time.Now, Log: log, Interval: 2 * time.Second})
+//	defer k.Close()
+//	if k.Refused(now, digest, limit) {
+//		...
+//	}
+package keeper
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/hashicorp/go-hclog"
+	"gopkg.in/tomb.v2"
+
+	"example.org/lagoonfork/internal/event"
+	"example.org/lagoonfork/internal/quarantine"
+	"example.org/lagoonfork/pkg/ident"
+	"example.org/lagoonfork/pkg/store"
+)
+
+const (
+	// callTimeout bounds a call of the key-value service.
+	callTimeout = 2 * time.Second
+	// maxConflicts bounds the writes of one round that lose against others.
+	maxConflicts = 8
+)
+
+// Settings of a Keeper. All fields are required.
+type Settings struct {
+	Store    store.Store
+	Clock    func() time.Time
+	Log      hclog.Logger
+	Interval time.Duration // between two readings of the list
+}
+
+// Keeper holds the list. Its methods are safe for concurrent use.
+type Keeper struct {
+	settings Settings
+	tomb     tomb.Tomb
+	wake     chan struct{}
+
+	mu      sync.Mutex
+	list    quarantine.List
+	pending []change
+}
+
+// change is an accusation, or a clearance if upstream is empty.
+type change struct {
+	at       time.Time
+	digest   quarantine.Digest
+	upstream ident.Upstream
+}
+
+// New returns a keeper and starts its background work.
+func New(s Settings) *Keeper {
+	k := &Keeper{settings: s, wake: make(chan struct{}, 1)}
+	k.tomb.Go(k.loop)
+	return k
+}
+
+// Close ends the background work and waits.
+func (k *Keeper) Close() error {
+	k.tomb.Kill(nil)
+	return k.tomb.Wait()
+}
+
+// Accuse records that upstream crashed while it ran the request.
+func (k *Keeper) Accuse(now time.Time, d quarantine.Digest, upstream ident.Upstream) {
+	k.mu.Lock()
+	changed := k.list.Accuse(now, d, upstream)
+	k.mu.Unlock()
+	if changed {
+		k.enqueue(change{at: now, digest: d, upstream: upstream})
+	}
+}
+
+// Clear records that the request completed.
+func (k *Keeper) Clear(d quarantine.Digest) {
+	k.mu.Lock()
+	changed := k.list.Clear(d)
+	k.mu.Unlock()
+	if changed {
+		k.enqueue(change{digest: d})
+	}
+}
+
+// Refused reports whether the request is refused under the crash limit.
+func (k *Keeper) Refused(now time.Time, d quarantine.Digest, limit int) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.list.Refused(now, d, limit)
+}
+
+// Suspect reports whether the request stands accused at all.
+func (k *Keeper) Suspect(now time.Time, d quarantine.Digest) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.list.Suspect(now, d)
+}
+
+func (k *Keeper) enqueue(c change) {
+	k.mu.Lock()
+	k.pending = append(k.pending, c)
+	k.mu.Unlock()
+	select {
+	case k.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (k *Keeper) loop() error {
+	ticker := time.NewTicker(k.settings.Interval)
+	defer ticker.Stop()
+	for {
+		if err := k.synchronise(k.tomb.Context(context.Background())); err != nil {
+			event.QuarantineNotWritten.Info(k.settings.Log, "error", err)
+		}
+		select {
+		case <-ticker.C:
+		case <-k.wake:
+		case <-k.tomb.Dying():
+			return nil
+		}
+	}
+}
+
+// synchronise reads the list, joins the pending changes and writes it back.
+func (k *Keeper) synchronise(ctx context.Context) (err error) {
+	defer func() { err = merry.Prepend(err, "synchronising the quarantine") }()
+	for range maxConflicts {
+		err = k.exchange(ctx)
+		if !errors.Is(err, store.ErrConflict) {
+			return err
+		}
+	}
+	return err
+}
+
+func (k *Keeper) exchange(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	entry, err := k.settings.Store.Get(ctx, quarantine.Key)
+	if err != nil {
+		return err
+	}
+	list, err := quarantine.Decode(entry.Value)
+	if err != nil {
+		return err
+	}
+	changes := k.unwritten()
+	if !apply(&list, changes) {
+		k.take(list, len(changes))
+		return nil
+	}
+	data, err := list.Encode()
+	if err != nil {
+		return err
+	}
+	_, err = k.settings.Store.Put(ctx, quarantine.Key, data, store.If(entry.Revision), store.NoLease)
+	if err == nil {
+		k.take(list, len(changes))
+	}
+	return err
+}
+
+func (k *Keeper) unwritten() []change {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return slices.Clone(k.pending)
+}
+
+// take replaces the list in memory and drops the first n pending changes.
+func (k *Keeper) take(list quarantine.List, n int) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.pending = k.pending[n:]
+	apply(&list, k.pending)
+	k.list = list
+}
+
+func apply(list *quarantine.List, changes []change) (changed bool) {
+	for _, c := range changes {
+		if c.upstream == "" {
+			changed = list.Clear(c.digest) || changed
+			continue
+		}
+		changed = list.Accuse(c.at, c.digest, c.upstream) || changed
+	}
+	return changed
+}
