Add the answers, the configuration made from them and its way to every VM

The fleet had types for a configuration but nothing that checked the operators' answers, made a configuration of them or put one in force.

Answers are decoded with every wrong field named by its path. Configurations are stored as content-addressed parts and a manifest that is swapped by compare-and-swap. Watchers hold the highest revision and learn of a new one from the key-value service or from relays.

--- /dev/null
+++ b/internal/document/node.go
@@ -0,0 +1,133 @@
+package document
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+)
+
+// maxDepth is the greatest depth of nested objects and arrays.
+const maxDepth = 32
+
+var errDepth = fmt.Errorf("is nested more than %d levels deep", maxDepth)
+
+// kind is the kind of a JSON value.
+type kind string
+
+const (
+	kindObject kind = "an object"
+	kindArray  kind = "a list"
+	kindString kind = "a string"
+	kindNumber kind = "a number"
+	kindBool   kind = "true or false"
+	kindNull   kind = "null"
+)
+
+// node is a JSON value. Unlike a map it keeps duplicate members.
+type node struct {
+	kind     kind
+	text     string // of a string, number or bool
+	elements []node
+	members  []member
+}
+
+type member struct {
+	name  string
+	value node
+}
+
+func parse(data []byte) (n node, err error) {
+	d := json.NewDecoder(bytes.NewReader(data))
+	d.UseNumber()
+	defer func() {
+		switch {
+		case err == nil:
+		case errors.Is(err, errDepth):
+		default:
+			err = fmt.Errorf("is not JSON: %w at byte %d", err, d.InputOffset())
+		}
+	}()
+	n, err = parseValue(d, 0)
+	if err != nil {
+		return node{}, err
+	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return node{}, errors.New("something follows the document")
+	}
+	return n, nil
+}
+
+func parseValue(d *json.Decoder, depth int) (node, error) {
+	token, err := d.Token()
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
+	if err != nil {
+		return node{}, err
+	}
+	return parseFrom(d, token, depth)
+}
+
+func parseFrom(d *json.Decoder, token json.Token, depth int) (node, error) {
+	switch t := token.(type) {
+	case json.Delim:
+		return parseNested(d, t, depth+1)
+	case string:
+		return node{kind: kindString, text: t}, nil
+	case json.Number:
+		return node{kind: kindNumber, text: t.String()}, nil
+	case bool:
+		return node{kind: kindBool, text: fmt.Sprint(t)}, nil
+	default:
+		return node{kind: kindNull}, nil
+	}
+}
+
+func parseNested(d *json.Decoder, open json.Delim, depth int) (n node, err error) {
+	if depth > maxDepth {
+		return node{}, errDepth
+	}
+	n.kind = kindArray
+	if open == '{' {
+		n.kind = kindObject
+	}
+	for d.More() {
+		if n.kind == kindObject {
+			err = n.parseMember(d, depth)
+		} else {
+			err = n.parseElement(d, depth)
+		}
+		if err != nil {
+			return node{}, err
+		}
+	}
+	_, err = d.Token()
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
+func (n *node) parseMember(d *json.Decoder, depth int) error {
+	name, err := parseValue(d, depth)
+	if err != nil {
+		return err
+	}
+	value, err := parseValue(d, depth)
+	if err != nil {
+		return err
+	}
+	n.members = append(n.members, member{name: name.text, value: value})
+	return nil
+}
+
+func (n *node) parseElement(d *json.Decoder, depth int) error {
+	value, err := parseValue(d, depth)
+	if err != nil {
+		return err
+	}
+	n.elements = append(n.elements, value)
+	return nil
+}
--- /dev/null
+++ b/internal/generator/generator.go
@@ -0,0 +1,141 @@
+// Package generator turns the operators' answers into the configuration that
+// the routers put in force.
+//
+// # Usage
+//
+//	c, err := generator.Generate(a, previous.Revision+1, previous)
+package generator
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/ansel1/merry/v2"
+
+	"example.org/lagoonfork/pkg/answers"
+	"example.org/lagoonfork/pkg/configuration"
+	"example.org/lagoonfork/pkg/ident"
+)
+
+// Generate returns the configuration of the answers at a revision. The same
+// answers, revision and previous configuration give the same result. previous
+// is the configuration in force, or nil; a budget whose Prepaid it holds
+// already keeps its Funded. The error wraps answers.Problems if the answers
+// are wrong.
+func Generate(
+	a answers.Answers, revision configuration.Revision, previous *configuration.Configuration,
+) (c configuration.Configuration, err error) {
+	defer func() { err = merry.Prependf(err, "generating configuration %d", revision) }()
+	if err := answers.Check(a, nil); err != nil {
+		return configuration.Configuration{}, err
+	}
+	digest, err := answers.Digest(a)
+	if err != nil {
+		return configuration.Configuration{}, err
+	}
+	return configuration.Configuration{
+		Revision:      revision,
+		AnswersDigest: digest,
+		Policy:        configuration.Policy(a.Policy),
+		Customers:     customers(a),
+		Budgets:       budgets(a, revision, previous),
+		Services:      services(a),
+	}, nil
+}
+
+func customers(a answers.Answers) []configuration.Customer {
+	list := make([]configuration.Customer, 0, len(a.Customers))
+	for _, c := range a.Customers {
+		list = append(list, configuration.Customer{
+			ID:           c.ID,
+			Name:         c.Name,
+			Weight:       c.Weight,
+			Applications: applications(a.Rules, c),
+		})
+	}
+	slices.SortFunc(list, func(x, y configuration.Customer) int { return cmp.Compare(x.ID, y.ID) })
+	return list
+}
+
+func applications(rules []answers.Rule, c answers.Customer) []configuration.Application {
+	list := make([]configuration.Application, 0, len(c.Applications))
+	for _, app := range c.Applications {
+		list = append(list, configuration.Application{
+			ID:        app.ID,
+			KeyHash:   app.KeyHash,
+			Budget:    app.Budget,
+			Services:  reachable(rules, c.ID, app.ID),
+			Priority:  app.Priority,
+			MaxOutput: app.MaxOutput,
+		})
+	}
+	slices.SortFunc(list, func(x, y configuration.Application) int { return cmp.Compare(x.ID, y.ID) })
+	return list
+}
+
+// reachable returns the services that the rules let an application reach.
+func reachable(rules []answers.Rule, customer ident.Customer, app ident.Application) []ident.Service {
+	list := make([]ident.Service, 0)
+	for _, r := range rules {
+		if matches(r.Customers, customer) && matches(r.Applications, app) {
+			list = append(list, r.Services...)
+		}
+	}
+	slices.Sort(list)
+	return slices.Compact(list)
+}
+
+func matches[T comparable](list []T, value T) bool {
+	return len(list) == 0 || slices.Contains(list, value)
+}
+
+func budgets(
+	a answers.Answers, revision configuration.Revision, previous *configuration.Configuration,
+) []configuration.Budget {
+	known := make(map[ident.Budget]configuration.Budget)
+	if previous != nil {
+		for _, b := range previous.Budgets {
+			known[b.ID] = b
+		}
+	}
+	list := make([]configuration.Budget, 0)
+	for _, c := range a.Customers {
+		for _, b := range c.Budgets {
+			next := configuration.Budget{ID: b.ID, Customer: c.ID, Prepaid: b.Prepaid, Funded: revision}
+			if old, ok := known[b.ID]; ok && old.Prepaid == b.Prepaid {
+				next.Funded = old.Funded
+			}
+			list = append(list, next)
+		}
+	}
+	slices.SortFunc(list, func(x, y configuration.Budget) int { return cmp.Compare(x.ID, y.ID) })
+	return list
+}
+
+func services(a answers.Answers) []configuration.Service {
+	list := make([]configuration.Service, 0, len(a.Services))
+	for _, s := range a.Services {
+		next := configuration.Service{ID: s.ID, Kind: s.Kind}
+		for _, m := range s.Models {
+			next.Models = append(next.Models, configuration.Model(m))
+		}
+		for _, call := range s.Calls {
+			next.Calls = append(next.Calls, configuration.Call(call))
+		}
+		for _, u := range s.Upstreams {
+			next.Upstreams = append(next.Upstreams, configuration.Upstream(u))
+		}
+		sortService(&next)
+		list = append(list, next)
+	}
+	slices.SortFunc(list, func(x, y configuration.Service) int { return cmp.Compare(x.ID, y.ID) })
+	return list
+}
+
+func sortService(s *configuration.Service) {
+	slices.SortFunc(s.Models, func(x, y configuration.Model) int { return cmp.Compare(x.ID, y.ID) })
+	slices.SortFunc(s.Calls, func(x, y configuration.Call) int {
+		return cmp.Or(cmp.Compare(x.Method, y.Method), cmp.Compare(x.PathPrefix, y.PathPrefix))
+	})
+	slices.SortFunc(s.Upstreams, func(x, y configuration.Upstream) int { return cmp.Compare(x.ID, y.ID) })
+}
--- /dev/null
+++ b/internal/manifest/configuration.go
@@ -0,0 +1,163 @@
+package manifest
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/ansel1/merry/v2"
+
+	"example.org/lagoonfork/pkg/configuration"
+	"example.org/lagoonfork/pkg/ident"
+)
+
+// Bucket is a part with some customers and budgets of a configuration. A
+// customer's applications may be spread over buckets; only one of them has its
+// name.
+type Bucket struct {
+	Customers []configuration.Customer `json:"customers,omitempty"`
+	Budgets   []configuration.Budget   `json:"budgets,omitempty"`
+}
+
+// Base is the part with what does not belong to a customer.
+type Base struct {
+	Policy   configuration.Policy    `json:"policy"`
+	Services []configuration.Service `json:"services"`
+}
+
+// SplitConfiguration returns the parts of c.
+func SplitConfiguration(c configuration.Configuration, l Layout) (s Split, err error) {
+	defer func() { err = merry.Prependf(err, "splitting configuration %d", c.Revision) }()
+	buckets := make([]Bucket, l)
+	groupsOf := groupsByCustomer(c)
+	for _, customer := range c.Customers {
+		l.spread(buckets, customer, groupsOf[customer.ID])
+	}
+	for _, b := range c.Budgets {
+		i := l.bucketOf(string(b.Customer), string(b.ID), groupsOf[b.Customer])
+		buckets[i].Budgets = append(buckets[i].Budgets, b)
+	}
+	return split(Base{Policy: c.Policy, Services: c.Services}, buckets)
+}
+
+// split encodes the parts of a document.
+func split[B any](base any, buckets []B) (s Split, err error) {
+	s.Parts = make(Parts, len(buckets)+1)
+	if s.List.Base, err = s.Parts.add(base); err != nil {
+		return Split{}, err
+	}
+	for _, b := range buckets {
+		digest, err := s.Parts.add(b)
+		if err != nil {
+			return Split{}, err
+		}
+		s.List.Buckets = append(s.List.Buckets, digest)
+	}
+	return s, nil
+}
+
+func groupsByCustomer(c configuration.Configuration) map[ident.Customer]int {
+	rows := make(map[ident.Customer]int, len(c.Customers))
+	for _, b := range c.Budgets {
+		rows[b.Customer]++
+	}
+	for _, customer := range c.Customers {
+		rows[customer.ID] = groups(max(rows[customer.ID], len(customer.Applications)))
+	}
+	return rows
+}
+
+func (l Layout) spread(buckets []Bucket, c configuration.Customer, groups int) {
+	byBucket := make(map[int][]configuration.Application, groups)
+	for _, app := range c.Applications {
+		i := l.bucketOf(string(c.ID), string(app.ID), groups)
+		byBucket[i] = append(byBucket[i], app)
+	}
+	home := l.home(string(c.ID))
+	c.Applications = byBucket[home]
+	buckets[home].Customers = append(buckets[home].Customers, c)
+	delete(byBucket, home)
+	for i, apps := range byBucket {
+		buckets[i].Customers = append(buckets[i].Customers, configuration.Customer{ID: c.ID, Applications: apps})
+	}
+}
+
+// DecodeBase reads the part with the policy and the services.
+func DecodeBase(p Parts, m Manifest) (b Base, err error) {
+	err = p.read(m.Base, &b)
+	return b, merry.Prependf(err, "reading the base of revision %d", m.Revision)
+}
+
+// DecodeBucket reads a part with customers and budgets.
+func DecodeBucket(p Parts, digest Digest) (b Bucket, err error) {
+	err = p.read(digest, &b)
+	return b, merry.Prependf(err, "reading bucket %s", digest)
+}
+
+// AssembleConfiguration returns the configuration that m names.
+func AssembleConfiguration(m Manifest, p Parts) (c configuration.Configuration, err error) {
+	defer func() { err = merry.Prependf(err, "assembling configuration %d", m.Revision) }()
+	base, err := DecodeBase(p, m)
+	if err != nil {
+		return configuration.Configuration{}, err
+	}
+	buckets := make([]Bucket, len(m.Buckets))
+	for i, digest := range m.Buckets {
+		if buckets[i], err = DecodeBucket(p, digest); err != nil {
+			return configuration.Configuration{}, err
+		}
+	}
+	return Join(m, base, buckets), nil
+}
+
+// Join returns the configuration made of decoded parts. The parts are not
+// changed and may be joined again.
+func Join(m Manifest, base Base, buckets []Bucket) configuration.Configuration {
+	c := configuration.Configuration{
+		Revision:      m.Revision,
+		AnswersDigest: m.AnswersDigest,
+		Policy:        base.Policy,
+		Customers:     make([]configuration.Customer, 0),
+		Budgets:       make([]configuration.Budget, 0),
+		Services:      base.Services,
+	}
+	for _, b := range buckets {
+		c.Customers = append(c.Customers, b.Customers...)
+		c.Budgets = append(c.Budgets, b.Budgets...)
+	}
+	slices.SortFunc(c.Budgets, func(x, y configuration.Budget) int { return cmp.Compare(x.ID, y.ID) })
+	c.Customers = joinCustomers(c.Customers)
+	return c
+}
+
+// joinCustomers sorts the customers and puts the pieces of each together.
+func joinCustomers(pieces []configuration.Customer) []configuration.Customer {
+	slices.SortFunc(pieces, func(x, y configuration.Customer) int { return cmp.Compare(x.ID, y.ID) })
+	joined := pieces[:0]
+	for _, piece := range pieces {
+		if len(joined) == 0 || joined[len(joined)-1].ID != piece.ID {
+			joined = append(joined, piece)
+			continue
+		}
+		last := &joined[len(joined)-1]
+		last.Name = cmp.Or(last.Name, piece.Name)
+		last.Weight = cmp.Or(last.Weight, piece.Weight)
+		last.Applications = append(slices.Clip(last.Applications), piece.Applications...)
+	}
+	for i := range joined {
+		joined[i].Applications = sortedApplications(joined[i].Applications)
+	}
+	return joined
+}
+
+func sortedApplications(apps []configuration.Application) []configuration.Application {
+	byID := func(x, y configuration.Application) int { return cmp.Compare(x.ID, y.ID) }
+	if apps == nil {
+		return make([]configuration.Application, 0)
+	}
+	if slices.IsSortedFunc(apps, byID) {
+		return apps
+	}
+	apps = slices.Clone(apps)
+	slices.SortFunc(apps, byID)
+	return apps
+}
--- /dev/null
+++ b/internal/manifest/manifest.go
@@ -0,0 +1,140 @@
+// Package manifest splits configurations and answers into parts that are
+// stored under the digests of their contents, and assembles them again.
+//
+// A value of the key-value service is limited to 1 MB and a large fleet's
+// configuration is many times that. One part holds the policy and the
+// services; the others, the buckets, hold the customers with their budgets and
+// applications, spread by hash. A change rewrites the parts that it touches,
+// and a router reads only the parts that it does not hold yet.
+//
+// A Manifest names the parts of one revision. It is the value of HeadKey,
+// which is swapped by compare-and-swap when a revision is put in force.
+//
+// # Usage
+//
+//	layout := manifest.LayoutFor(len(c.Budgets), 0)
+//	parts, err := manifest.SplitConfiguration(c, layout)
+//	...
+//	c, err := manifest.AssembleConfiguration(head, parts)
+package manifest
+
+import (
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/json"
+
+	"github.com/ansel1/merry/v2"
+
+	"example.org/lagoonfork/pkg/configuration"
+)
+
+// Keys of the key-value service.
+const (
+	// HeadKey holds the manifest in force.
+	HeadKey = "config/head"
+	// PartPrefix begins the keys of all parts. The digest follows.
+	PartPrefix = "config/part/"
+)
+
+// Digest identifies a part by its content: its SHA-256 in base64url.
+type Digest string
+
+// Manifest names everything that belongs to a revision.
+type Manifest struct {
+	Revision configuration.Revision `json:"revision"`
+	// ApplyID is the identifier that the writer chose for this change.
+	ApplyID       string `json:"applyId"`
+	AnswersDigest string `json:"answersDigest"`
+	// Base is the part with the policy and the services.
+	Base Digest `json:"base"`
+	// Buckets are the parts with customers and budgets. Their number is a
+	// power of two.
+	Buckets []Digest `json:"buckets"`
+	// Answers is the part that holds the List of the parts of the answers.
+	Answers Digest `json:"answers"`
+	// Previous is the part that holds the previous manifest, if any.
+	Previous Digest `json:"previous,omitempty"`
+	// Sweep counts the removals of old parts. It changes without a new
+	// revision and so stops writers that began before a removal.
+	Sweep int `json:"sweep,omitempty"`
+}
+
+// List names the parts of one document.
+type List struct {
+	Base    Digest   `json:"base"`
+	Buckets []Digest `json:"buckets"`
+}
+
+// Parts holds the contents of parts.
+type Parts map[Digest][]byte
+
+// Split is a document in parts.
+type Split struct {
+	List  List
+	Parts Parts
+}
+
+// Sum returns the digest of a part's content.
+func Sum(data []byte) Digest {
+	sum := sha256.Sum256(data)
+	return Digest(base64.RawURLEncoding.EncodeToString(sum[:]))
+}
+
+// Key returns the key under which a part is stored.
+func (d Digest) Key() string {
+	return PartPrefix + string(d)
+}
+
+// List returns the parts of the configuration.
+func (m Manifest) List() List {
+	return List{Base: m.Base, Buckets: m.Buckets}
+}
+
+// Digests returns the digests of the document's parts.
+func (l List) Digests() []Digest {
+	digests := make([]Digest, 0, 1+len(l.Buckets))
+	digests = append(digests, l.Base)
+	return append(digests, l.Buckets...)
+}
+
+// Decode reads a manifest.
+func Decode(data []byte) (m Manifest, err error) {
+	defer func() { err = merry.Prepend(err, "reading a manifest") }()
+	err = json.Unmarshal(data, &m)
+	if err == nil && (m.Revision < 1 || m.Base == "" || !isPowerOfTwo(len(m.Buckets))) {
+		err = ErrMalformed
+	}
+	return m, err
+}
+
+// Encode returns the manifest as stored.
+func (m Manifest) Encode() ([]byte, error) {
+	data, err := json.Marshal(m)
+	return data, merry.Prepend(err, "writing a manifest")
+}
+
+// add stores the JSON form of a part and returns its digest.
+func (p Parts) add(part any) (Digest, error) {
+	data, err := json.Marshal(part)
+	if err != nil {
+		return "", err
+	}
+	digest := Sum(data)
+	p[digest] = data
+	return digest, nil
+}
+
+// Add stores the JSON form of a part and returns its digest.
+func (p Parts) Add(part any) (Digest, error) {
+	digest, err := p.add(part)
+	return digest, merry.Prepend(err, "writing a part")
+}
+
+// read fills part from the content stored under digest.
+func (p Parts) read(digest Digest, part any) error {
+	data, ok := p[digest]
+	if !ok {
+		return merry.Prependf(ErrMissing, "part %s", digest)
+	}
+	return json.Unmarshal(data, part)
+}
--- /dev/null
+++ b/internal/publication/query.go
@@ -0,0 +1,182 @@
+package publication
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+
+	"github.com/ansel1/merry/v2"
+	"golang.org/x/sync/errgroup"
+
+	"example.org/lagoonfork/internal/manifest"
+	"example.org/lagoonfork/pkg/answers"
+	"example.org/lagoonfork/pkg/configuration"
+	"example.org/lagoonfork/pkg/store"
+)
+
+// readers is the number of parts that are read at the same time.
+const readers = 8
+
+// State is a revision with the answers that it was made from.
+type State struct {
+	Head          manifest.Manifest
+	Answers       answers.Answers
+	Configuration configuration.Configuration
+}
+
+// InForce returns the revision in force, or ErrNothing.
+func (p *Publisher) InForce(ctx context.Context) (s State, err error) {
+	defer func() { err = merry.Prepend(err, "reading the revision in force") }()
+	_, head, err := p.head(ctx)
+	if err != nil {
+		return State{}, err
+	}
+	if head.Revision == 0 {
+		return State{}, ErrNothing
+	}
+	return p.load(ctx, head)
+}
+
+// At returns an earlier revision, or ErrNothing if it is not held any more.
+func (p *Publisher) At(ctx context.Context, r configuration.Revision) (s State, err error) {
+	defer func() { err = merry.Prependf(err, "reading revision %d", r) }()
+	_, head, err := p.head(ctx)
+	if err != nil {
+		return State{}, err
+	}
+	for head.Revision > r && head.Previous != "" {
+		if head, err = p.previous(ctx, head); err != nil {
+			return State{}, err
+		}
+	}
+	if head.Revision != r || r == 0 {
+		return State{}, ErrNothing
+	}
+	return p.load(ctx, head)
+}
+
+// head returns the manifest in force. Its Revision is 0 if there is none.
+func (p *Publisher) head(ctx context.Context) (entry store.Entry, head manifest.Manifest, err error) {
+	entry, err = p.store.Get(ctx, manifest.HeadKey)
+	if err != nil || entry.Revision == 0 {
+		return entry, manifest.Manifest{}, err
+	}
+	head, err = manifest.Decode(entry.Value)
+	return entry, head, err
+}
+
+// previous returns the manifest before m, or ErrNothing if it was removed.
+func (p *Publisher) previous(ctx context.Context, m manifest.Manifest) (manifest.Manifest, error) {
+	data, err := p.part(ctx, m.Previous)
+	if errors.Is(err, manifest.ErrMissing) {
+		return manifest.Manifest{}, ErrNothing
+	}
+	if err != nil {
+		return manifest.Manifest{}, err
+	}
+	return manifest.Decode(data)
+}
+
+// lookUp finds the revision that a change was put in force with, among those
+// after the revision that the change was made from.
+func (p *Publisher) lookUp(
+	ctx context.Context, head manifest.Manifest, id string, base configuration.Revision,
+) (r configuration.Revision, ok bool, err error) {
+	for head.Revision > base {
+		if head.ApplyID == id {
+			return head.Revision, true, nil
+		}
+		if head.Previous == "" {
+			break
+		}
+		head, err = p.previous(ctx, head)
+		if errors.Is(err, ErrNothing) {
+			break
+		}
+		if err != nil {
+			return 0, false, err
+		}
+	}
+	return 0, false, nil
+}
+
+// load reads all parts of a manifest. The zero manifest gives a zero state.
+func (p *Publisher) load(ctx context.Context, m manifest.Manifest) (s State, err error) {
+	if m.Revision == 0 {
+		return State{}, nil
+	}
+	list, err := p.answerList(ctx, m)
+	if err != nil {
+		return State{}, err
+	}
+	parts, err := p.parts(ctx, append(list.Digests(), m.List().Digests()...))
+	if err != nil {
+		return State{}, err
+	}
+	s.Head = m
+	if s.Answers, err = manifest.AssembleAnswers(list, parts); err != nil {
+		return State{}, err
+	}
+	s.Answers.Revision = m.Revision
+	s.Configuration, err = manifest.AssembleConfiguration(m, parts)
+	return s, err
+}
+
+func (p *Publisher) answerList(ctx context.Context, m manifest.Manifest) (list manifest.List, err error) {
+	data, err := p.part(ctx, m.Answers)
+	if err != nil {
+		return manifest.List{}, err
+	}
+	err = json.Unmarshal(data, &list)
+	return list, err
+}
+
+// named returns the digests of all parts that a manifest names.
+func (p *Publisher) named(ctx context.Context, m manifest.Manifest) (map[manifest.Digest]bool, error) {
+	digests := make(map[manifest.Digest]bool)
+	if m.Revision == 0 {
+		return digests, nil
+	}
+	list, err := p.answerList(ctx, m)
+	if err != nil {
+		return nil, err
+	}
+	for _, d := range append(list.Digests(), m.List().Digests()...) {
+		digests[d] = true
+	}
+	digests[m.Answers] = true
+	return digests, nil
+}
+
+func (p *Publisher) parts(ctx context.Context, digests []manifest.Digest) (manifest.Parts, error) {
+	var mu sync.Mutex
+	parts := make(manifest.Parts, len(digests))
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(readers)
+	for _, digest := range digests {
+		group.Go(func() error {
+			data, err := p.part(ctx, digest)
+			mu.Lock()
+			defer mu.Unlock()
+			parts[digest] = data
+			return err
+		})
+	}
+	return parts, group.Wait()
+}
+
+// part reads one part and verifies it.
+func (p *Publisher) part(ctx context.Context, digest manifest.Digest) ([]byte, error) {
+	entry, err := p.store.Get(ctx, digest.Key())
+	if err != nil {
+		return nil, err
+	}
+	if entry.Revision == 0 {
+		return nil, merry.Prependf(manifest.ErrMissing, "part %s", digest)
+	}
+	if manifest.Sum(entry.Value) != digest {
+		return nil, merry.Prependf(manifest.ErrMalformed, "part %s", digest)
+	}
+	return entry.Value, nil
+}
--- a/pkg/configuration/configuration.go
+++ b/pkg/configuration/configuration.go
@@ -7,8 +7,8 @@
 //
 // # Usage
 //
-//	c := watcher.Current()
-//	app, ok := c.ApplicationByKey(hash)
+//	x := configuration.NewIndex(c)
+//	app, customer, ok := x.ApplicationByKey(hash)
 package configuration
 
 import (
