Add the endpoint for callers and the survey of upstreams

Cause: callers need checked requests, errors in one shape and streams whose end follows the bill. Change: callerapi (chat completions whole and streamed, models, plain services, health), survey (load reports, cache events, the platform's list), cache keys in place of block prefixes, since engines name a cached prefix by one key.

--- /dev/null
+++ b/internal/callerapi/callerapi.go
@@ -0,0 +1,250 @@
+// Package callerapi is the endpoint that a router offers to callers: chat
+// completions in the OpenAI format, whole and streamed, the list of models,
+// calls of plain services, and health for the platform's balancer.
+//
+// Every request is checked before anything is reserved or dispatched. Errors
+// have the shape of package refusal.
+//
+// # Usage
+//
+//	h := callerapi.New(callerapi.Settings{Dispatcher: d, Index: watcher.Index, ...})
+//	http.Serve(listener, h)
+package callerapi
+
+import (
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"goji.io"
+	"goji.io/pat"
+
+	"example.org/lagoonfork/internal/dispatch"
+	"example.org/lagoonfork/internal/refusal"
+	"example.org/lagoonfork/internal/replay"
+	"example.org/lagoonfork/pkg/configuration"
+	"example.org/lagoonfork/pkg/engine"
+	"example.org/lagoonfork/pkg/ident"
+)
+
+// Headers of callers.
+const (
+	HeaderKey        = "Idempotency-Key"
+	HeaderDeadline   = "X-Deadline-Millis"
+	HeaderIdempotent = "X-Idempotent"
+	HeaderRequest    = "X-Request-Id"
+	HeaderCost       = "X-Billed-Tokens"
+)
+
+const (
+	defaultDeadline = 5 * time.Minute
+	maxDeadline     = 15 * time.Minute
+	// requestIDBytes is the number of random bytes of a request identifier.
+	requestIDBytes = 12
+)
+
+// Settings of the endpoint. All fields are required.
+type Settings struct {
+	Dispatcher *dispatch.Dispatcher
+	// Index returns the configuration in force, or nil before the first one.
+	Index   func() *configuration.Index
+	Ready   func() bool
+	MaxBody int64 // in bytes
+	Clock   func() time.Time
+	Log     hclog.Logger
+}
+
+// Handler is the endpoint.
+type Handler struct {
+	Settings
+	mux *goji.Mux
+}
+
+// New returns the endpoint.
+func New(s Settings) *Handler {
+	h := &Handler{Settings: s, mux: goji.NewMux()}
+	h.mux.HandleFunc(pat.Get("/healthz"), h.health)
+	h.mux.HandleFunc(pat.Get("/readyz"), h.ready)
+	h.mux.HandleFunc(pat.Get("/v1/models"), h.models)
+	h.mux.HandleFunc(pat.Post("/v1/chat/completions"), h.chat)
+	h.mux.HandleFunc(pat.New("/services/:service/*"), h.plain)
+	h.mux.HandleFunc(pat.New("/*"), h.unknown)
+	return h
+}
+
+// ServeHTTP answers a caller.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.mux.ServeHTTP(w, r)
+}
+
+func (h *Handler) health(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, struct {
+		Healthy bool `json:"healthy"`
+	}{true})
+}
+
+func (h *Handler) ready(w http.ResponseWriter, _ *http.Request) {
+	status := http.StatusServiceUnavailable
+	if h.Ready() {
+		status = http.StatusOK
+	}
+	writeJSON(w, status, struct {
+		Ready bool `json:"ready"`
+	}{h.Ready()})
+}
+
+func (h *Handler) unknown(w http.ResponseWriter, r *http.Request) {
+	refusal.New(refusal.NotFound, "no such path: %s", r.URL.Path).Write(w, "")
+}
+
+// caller is an application whose key was recognised.
+type caller struct {
+	index       *configuration.Index
+	application *configuration.Application
+	customer    *configuration.Customer
+}
+
+// authenticate finds the application whose key the request bears.
+func (h *Handler) authenticate(r *http.Request) (c caller, err *refusal.Refusal) {
+	index := h.Index()
+	if index == nil || !h.Ready() {
+		return c, refusal.New(refusal.NotReady, "the router is starting or stopping").After(time.Second)
+	}
+	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok || key == "" {
+		return c, refusal.New(refusal.Unauthorized, "Authorization: a bearer key is required")
+	}
+	sum := sha256.Sum256([]byte(key))
+	application, customer, ok := index.ApplicationByKey(hex.EncodeToString(sum[:]))
+	if !ok {
+		return c, refusal.New(refusal.Unauthorized, "Authorization: unknown key")
+	}
+	return caller{index, application, customer}, nil
+}
+
+func (h *Handler) models(w http.ResponseWriter, r *http.Request) {
+	c, refused := h.authenticate(r)
+	if refused != nil {
+		refused.Write(w, "")
+		return
+	}
+	list := engine.ModelList{Object: "list", Data: []engine.ModelCard{}}
+	for _, id := range c.application.Services {
+		service, ok := c.index.Service(id)
+		if !ok {
+			continue
+		}
+		for _, m := range service.Models {
+			list.Data = append(list.Data, engine.ModelCard{ID: m.ID, Object: "model", OwnedBy: string(id)})
+		}
+	}
+	writeJSON(w, http.StatusOK, list)
+}
+
+// common fills in what requests of all kinds have.
+func (h *Handler) common(r *http.Request, c caller, service ident.Service, body []byte) (*dispatch.Request, *refusal.Refusal) {
+	budget, ok := c.index.Budget(c.application.Budget)
+	if !ok {
+		return nil, refusal.New(refusal.Forbidden, "application %s has no budget", c.application.ID)
+	}
+	deadline, refused := h.deadline(r)
+	if refused != nil {
+		return nil, refused
+	}
+	request := &dispatch.Request{
+		ID:          newRequestID(),
+		Idempotent:  r.Header.Get(HeaderIdempotent) != "false",
+		Customer:    c.customer.ID,
+		Weight:      c.customer.Weight,
+		Application: c.application.ID,
+		Budget:      *budget,
+		Service:     service,
+		Deadline:    deadline,
+	}
+	return request, identify(request, r, body)
+}
+
+// identify names a request by its idempotency key, if it has one.
+func identify(request *dispatch.Request, r *http.Request, body []byte) *refusal.Refusal {
+	keys := r.Header.Values(HeaderKey)
+	if len(keys) == 0 {
+		return nil
+	}
+	if len(keys) > 1 || !ident.Valid(keys[0]) {
+		return refusal.New(refusal.BadRequest,
+			"%s: 1 to 128 letters, digits, dots, underscores and hyphens are required", HeaderKey)
+	}
+	request.Keyed = true
+	request.ID = ident.Request("k." + string(request.Application) + "." + keys[0])
+	digest := sha256.New()
+	_, _ = io.WriteString(digest, r.Method+" "+r.URL.RequestURI()+"\n")
+	_, _ = digest.Write(body)
+	request.Digest = hex.EncodeToString(digest.Sum(nil)[:16])
+	return nil
+}
+
+func (h *Handler) deadline(r *http.Request) (time.Time, *refusal.Refusal) {
+	allowed := defaultDeadline
+	if text := r.Header.Get(HeaderDeadline); text != "" {
+		millis, err := strconv.ParseInt(text, 10, 64)
+		if err != nil || millis <= 0 || millis > maxDeadline.Milliseconds() {
+			return time.Time{}, refusal.New(refusal.BadRequest, "%s: 1 to %d is required", HeaderDeadline, maxDeadline.Milliseconds())
+		}
+		allowed = time.Duration(millis) * time.Millisecond
+	}
+	return h.Clock().Add(allowed), nil
+}
+
+func newRequestID() ident.Request {
+	var b [requestIDBytes]byte
+	_, _ = rand.Read(b[:]) // never fails
+	return ident.Request("r." + hex.EncodeToString(b[:]))
+}
+
+// body reads the request's body within the limit.
+func (h *Handler) body(w http.ResponseWriter, r *http.Request) ([]byte, *refusal.Refusal) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, h.MaxBody))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, refusal.New(refusal.BodyTooLarge, "the body is larger than %d bytes", tooLarge.Limit)
+	case err != nil:
+		return nil, refusal.New(refusal.BadRequest, "the body could not be read")
+	}
+	return data, nil
+}
+
+// submit starts the request or joins the one with its key.
+func (h *Handler) submit(request *dispatch.Request) (*dispatch.Submission, *refusal.Refusal) {
+	s, err := h.Dispatcher.Submit(h.Clock(), request)
+	switch {
+	case errors.Is(err, replay.ErrKeyReused):
+		return nil, refusal.New(refusal.KeyReused, "%s: the key was used for another request", HeaderKey)
+	case err != nil:
+		return nil, refusal.New(refusal.NotReady, "the router is stopping").After(time.Second)
+	}
+	return s, nil
+}
+
+// late returns the refusal of a caller whose deadline passed or who left.
+func late(request *dispatch.Request) *refusal.Refusal {
+	message := "the deadline has passed"
+	if request.Keyed {
+		message += "; the request goes on, and its answer can be fetched with the same key"
+	}
+	return refusal.Ran(refusal.DeadlineExceeded, "%s", message).After(time.Second)
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body) // the caller may have gone
+}
--- /dev/null
+++ b/internal/callerapi/plain.go
@@ -0,0 +1,123 @@
+package callerapi
+
+import (
+	"context"
+	"maps"
+	"net/http"
+	"slices"
+	"strings"
+
+	"goji.io/pat"
+
+	"example.org/lagoonfork/internal/dispatch"
+	"example.org/lagoonfork/internal/plainclient"
+	"example.org/lagoonfork/internal/refusal"
+	"example.org/lagoonfork/pkg/configuration"
+	"example.org/lagoonfork/pkg/ident"
+	"example.org/lagoonfork/pkg/tokens"
+)
+
+// plain forwards a call to a plain service.
+func (h *Handler) plain(w http.ResponseWriter, r *http.Request) {
+	request, refused := h.acceptCall(w, r)
+	if refused != nil {
+		refused.Write(w, "")
+		return
+	}
+	w.Header().Set(HeaderRequest, string(request.ID))
+	s, refused := h.submit(request)
+	if refused != nil {
+		refused.Write(w, request.ID)
+		return
+	}
+	defer s.Leave()
+	ctx, cancel := context.WithDeadline(r.Context(), request.Deadline)
+	defer cancel()
+	_, end, err := s.Answer.Read(ctx, 0)
+	switch {
+	case err != nil:
+		late(request).Write(w, request.ID)
+	case end.Refusal != nil:
+		end.Refusal.Write(w, request.ID)
+	default:
+		deliver(w, end)
+	}
+}
+
+// deliver sends the response of a plain service.
+func deliver(w http.ResponseWriter, end *dispatch.End) {
+	maps.Copy(w.Header(), end.Response.Header)
+	setCost(w, end)
+	w.WriteHeader(end.Response.Status)
+	_, _ = w.Write(end.Response.Body) // the caller may have gone
+}
+
+// acceptCall checks a call of a plain service.
+func (h *Handler) acceptCall(w http.ResponseWriter, r *http.Request) (*dispatch.Request, *refusal.Refusal) {
+	c, refused := h.authenticate(r)
+	if refused != nil {
+		return nil, refused
+	}
+	id := ident.Service(pat.Param(r, "service"))
+	service, ok := c.index.Service(id)
+	if !ok || service.Kind != configuration.KindPlain || !slices.Contains(c.application.Services, id) {
+		return nil, refusal.New(refusal.NotFound, "service %q is not offered to this application", id)
+	}
+	body, refused := h.body(w, r)
+	if refused != nil {
+		return nil, refused
+	}
+	request, refused := h.common(r, c, id, body)
+	if refused != nil {
+		return nil, refused
+	}
+	path := strings.TrimPrefix(r.URL.RequestURI(), "/services/"+string(id))
+	call := findCall(service, r.Method, path)
+	request.Idempotent = request.Idempotent && call.Idempotent
+	request.Bound = max(call.Cost, 1)
+	request.Call = &dispatch.Call{
+		Cost: call.Cost,
+		Forward: plainclient.Call{
+			Method: r.Method,
+			Path:   path,
+			Header: forwarded(r.Header),
+			Body:   body,
+		},
+	}
+	return request, nil
+}
+
+// findCall returns the rule with the longest path that matches, or one that
+// takes only safe methods as idempotent.
+func findCall(service *configuration.Service, method, path string) configuration.Call {
+	var best *configuration.Call
+	for i := range service.Calls {
+		c := &service.Calls[i]
+		if c.Method != method || !strings.HasPrefix(path, c.PathPrefix) {
+			continue
+		}
+		if best == nil || len(c.PathPrefix) > len(best.PathPrefix) {
+			best = c
+		}
+	}
+	if best != nil {
+		return *best
+	}
+	return configuration.Call{Idempotent: safe(method), Cost: tokens.Count(0)}
+}
+
+func safe(method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions:
+		return true
+	}
+	return false
+}
+
+// forwarded returns the headers that go to the service: all but the caller's
+// key for the fleet.
+func forwarded(h http.Header) http.Header {
+	h = h.Clone()
+	h.Del("Authorization")
+	return h
+}
--- /dev/null
+++ b/internal/callerapi/prompt.go
@@ -0,0 +1,182 @@
+package callerapi
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"strings"
+
+	"example.org/lagoonfork/internal/dispatch"
+	"example.org/lagoonfork/internal/refusal"
+	"example.org/lagoonfork/pkg/configuration"
+	"example.org/lagoonfork/pkg/ident"
+	"example.org/lagoonfork/pkg/tokens"
+)
+
+const (
+	// messageOverhead bounds the tokens that a message's role and markers add.
+	messageOverhead tokens.Count = 16
+	// bytesPerToken is the mean length of a token in prompts.
+	bytesPerToken = 4
+	// defaultOutput bounds the output of a request that names no limit.
+	defaultOutput tokens.Count = 1024
+	maxMessages   int          = 4096
+)
+
+// prompt is the part of a chat request that the router looks at.
+type prompt struct {
+	model    ident.Model
+	stream   bool
+	usage    bool // the caller asked for the usage in the stream
+	output   tokens.Count
+	text     string
+	bound    tokens.Count // upper bound of the prompt's tokens
+	messages int
+	fields   map[string]json.RawMessage
+}
+
+// message is one message of a chat request.
+type message struct {
+	Role    string          `json:"role"`
+	Content json.RawMessage `json:"content"`
+}
+
+// parsePrompt checks the body of a chat request. The refusal names the wrong
+// field.
+func parsePrompt(body []byte) (p prompt, refused *refusal.Refusal) {
+	if err := json.Unmarshal(body, &p.fields); err != nil {
+		return p, refusal.New(refusal.BadRequest, "body: %v", err)
+	}
+	var messages []message
+	var limit, completionLimit, choices *int64
+	var streamOptions struct {
+		IncludeUsage bool `json:"include_usage"`
+	}
+	for _, f := range []struct {
+		name string
+		into any
+	}{
+		{"model", &p.model}, {"messages", &messages}, {"stream", &p.stream}, {"n", &choices},
+		{"max_tokens", &limit}, {"max_completion_tokens", &completionLimit}, {"stream_options", &streamOptions},
+	} {
+		if refused := p.field(f.name, f.into); refused != nil {
+			return p, refused
+		}
+	}
+	p.usage = streamOptions.IncludeUsage
+	if choices != nil && *choices != 1 {
+		return p, refusal.New(refusal.BadRequest, "n: only 1 is supported")
+	}
+	if refused := p.setOutput("max_tokens", limit); refused != nil {
+		return p, refused
+	}
+	if refused := p.setOutput("max_completion_tokens", completionLimit); refused != nil {
+		return p, refused
+	}
+	return p, p.read(messages)
+}
+
+func (p *prompt) field(name string, into any) *refusal.Refusal {
+	raw, ok := p.fields[name]
+	if !ok {
+		return nil
+	}
+	if err := json.Unmarshal(raw, into); err != nil {
+		return refusal.New(refusal.BadRequest, "%s: %v", name, err)
+	}
+	return nil
+}
+
+func (p *prompt) setOutput(name string, limit *int64) *refusal.Refusal {
+	if limit == nil {
+		return nil
+	}
+	if *limit < 1 || *limit > 1<<24 {
+		return refusal.New(refusal.BadRequest, "%s: 1 to %d is required", name, 1<<24)
+	}
+	p.output = tokens.Count(*limit)
+	return nil
+}
+
+func (p *prompt) read(messages []message) *refusal.Refusal {
+	if p.model == "" {
+		return refusal.New(refusal.BadRequest, "model: required")
+	}
+	if len(messages) == 0 || len(messages) > maxMessages {
+		return refusal.New(refusal.BadRequest, "messages: 1 to %d are required", maxMessages)
+	}
+	var text strings.Builder
+	for i, m := range messages {
+		if m.Role == "" {
+			return refusal.New(refusal.BadRequest, "messages[%d].role: required", i)
+		}
+		content, err := contentText(m.Content)
+		if err != nil {
+			return refusal.New(refusal.BadRequest, "messages[%d].content: %v", i, err)
+		}
+		text.WriteString(content)
+	}
+	p.text = text.String()
+	p.messages = len(messages)
+	p.bound = tokens.Count(len(p.fields["messages"])) + messageOverhead*tokens.Count(len(messages))
+	for _, name := range []string{"tools", "functions", "response_format"} {
+		p.bound += tokens.Count(len(p.fields[name]))
+	}
+	return nil
+}
+
+// contentText returns the text of a message: a string, or parts of type text.
+func contentText(raw json.RawMessage) (string, error) {
+	raw = bytes.TrimSpace(raw)
+	if len(raw) == 0 || bytes.Equal(raw, []byte("null")) {
+		return "", nil
+	}
+	var text string
+	if raw[0] == '"' {
+		err := json.Unmarshal(raw, &text)
+		return text, err
+	}
+	var parts []struct {
+		Type string `json:"type"`
+		Text string `json:"text"`
+	}
+	if err := json.Unmarshal(raw, &parts); err != nil {
+		return "", err
+	}
+	for i, part := range parts {
+		if part.Type != "text" {
+			return "", fmt.Errorf("[%d].type: only text is supported", i)
+		}
+		text += part.Text
+	}
+	return text, nil
+}
+
+// chat returns the request for the dispatcher, with the limits written into its
+// body.
+func (p *prompt) chat(c caller, model *configuration.Model) (*dispatch.Chat, *refusal.Refusal) {
+	limit := c.application.MaxOutput
+	if p.output == 0 {
+		p.output = min(defaultOutput, limit)
+	}
+	if p.output > limit {
+		return nil, refusal.New(refusal.BadRequest, "max_tokens: the application may ask for %d at most", limit)
+	}
+	if model.ContextWindow > 0 && p.output >= model.ContextWindow {
+		return nil, refusal.New(refusal.BadRequest, "max_tokens: the context window of %s is %d", p.model, model.ContextWindow)
+	}
+	delete(p.fields, "max_completion_tokens")
+	p.fields["max_tokens"] = fmt.Append(nil, p.output)
+	body, err := json.Marshal(p.fields)
+	if err != nil {
+		return nil, refusal.New(refusal.BadRequest, "body: %v", err)
+	}
+	return &dispatch.Chat{
+		Model:    p.model,
+		Body:     body,
+		Text:     p.text,
+		Prompt:   tokens.Count(len(p.text)/bytesPerToken) + 1,
+		Output:   p.output,
+		Priority: c.application.Priority,
+	}, nil
+}
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -20,13 +20,11 @@
 	"example.org/lagoonfork/pkg/tokens"
 )
 
-const (
-	// cancelTimeout bounds the call that cancels a run at an engine.
-	cancelTimeout = 2 * time.Second
-	// bytesPerToken is the mean length of a token in a prompt, for requests
-	// whose engine did not report its own count.
-	bytesPerToken = 4
-)
+// cancelTimeout bounds the call that cancels a run at an engine.
+const cancelTimeout = 2 * time.Second
+
+// callWork is what a call of a plain service counts for in admission.
+const callWork tokens.Count = 1024
 
 // errDiverged reports that another attempt gave another text than the part of
 // the answer that the caller has received.
@@ -145,17 +143,17 @@
 		q.Model = c.Model
 		q.Prompt = c.Prompt
 		q.Output = c.Output
-		q.Prefixes = routing.Prefixes(c.Text)
+		q.Prefix = routing.PrefixOf(c.Text)
 	}
 	return q
 }
 
-// work returns the tokens that the request is expected to generate.
+// work returns the tokens that the request is expected to take up.
 func (x *run) work() tokens.Count {
-	if x.r.Chat != nil {
-		return x.r.Chat.Output
+	if c := x.r.Chat; c != nil {
+		return c.Prompt + c.Output
 	}
-	return max(x.r.Bound, 1)
+	return callWork
 }
 
 func (x *run) dispatch(ctx context.Context, up configuration.Upstream, a ident.Attempt, cached tokens.Count) (outcome, routing.Observation, error) {
@@ -194,12 +192,13 @@
 		Body:      x.r.Chat.Body,
 		Priority:  x.r.Chat.Priority,
 		MaxOutput: x.r.Chat.Output,
+		CacheKey:  string(routing.PrefixOf(x.r.Chat.Text)),
 	})
 	if err != nil {
 		return outcome{}, routing.Observation{Failed: upstreamFault(ctx, err)}, err
 	}
 	defer func() { _ = stream.Close() }() // it only releases the connection
-	x.service.Table.Expect(up.ID, routing.Prefixes(x.r.Chat.Text))
+	x.service.Table.Expect(up.ID, routing.PrefixOf(x.r.Chat.Text))
 	end, first, err := x.read(ctx, stream)
 	if err != nil {
 		x.cancel(up, request, err)
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -91,7 +91,7 @@
 	ticket, err := x.service.Gate.Enter(ctx, x.d.Clock(), admission.Request{
 		Customer: x.r.Customer,
 		Weight:   x.r.Weight,
-		Tokens:   x.r.Bound,
+		Tokens:   x.work(),
 		Deadline: x.r.Deadline,
 	})
 	if err == nil {
--- a/internal/event/routing.go
+++ b/internal/event/routing.go
@@ -20,6 +20,8 @@
 		"The list of crashing requests could not be exchanged with the key-value service; it is tried again.")
 	LoadNotRead = define(311, "load not read",
 		"An upstream did not report its load. It takes no new work for a while.")
+	ListNotRead = define(314, "list of VMs not read",
+		"The platform's list of VMs could not be read; what it said last stands.")
 	UpstreamLeaving = define(312, "upstream leaving",
 		"An upstream takes no new work. Field source tells who said so.")
 	UpstreamStaying = define(313, "upstream staying",
--- a/internal/peerapi/peerapi.go
+++ b/internal/peerapi/peerapi.go
@@ -25,10 +25,12 @@
 	"example.org/lagoonfork/internal/event"
 	"example.org/lagoonfork/internal/journal"
 	"example.org/lagoonfork/internal/ledger"
+	"example.org/lagoonfork/internal/manifest"
 	"example.org/lagoonfork/internal/peerclient"
 	"example.org/lagoonfork/internal/replay"
 	"example.org/lagoonfork/internal/routing"
 	"example.org/lagoonfork/internal/wallet"
+	"example.org/lagoonfork/pkg/configuration"
 	"example.org/lagoonfork/pkg/ident"
 	"example.org/lagoonfork/pkg/tokens"
 )
@@ -38,16 +40,14 @@
 
 // Settings of the endpoint. All fields are required.
 type Settings struct {
-	Secret     string
-	Dispatcher *dispatch.Dispatcher
-	Wallet     *wallet.Wallet
-	Ledger     Ledger
-	Directory  *directory.Directory
-	Journal    *journal.Journal
-	Status     func() peerclient.Status
-	// Configuration serves the parts of the configuration in force under
-	// peerclient.PathConfig.
-	Configuration http.Handler
+	Secret        string
+	Dispatcher    *dispatch.Dispatcher
+	Wallet        *wallet.Wallet
+	Ledger        Ledger
+	Directory     *directory.Directory
+	Journal       *journal.Journal
+	Status        func() peerclient.Status
+	Configuration Configuration
 	Clock         func() time.Time
 	Log           hclog.Logger
 }
@@ -58,6 +58,12 @@
 	ApplyLocal(ctx context.Context, page int, ops []ledger.Op) ([]ledger.Result, error)
 }
 
+// Configuration gives the configuration in force to peers.
+type Configuration interface {
+	AwaitHead(ctx context.Context, above configuration.Revision) manifest.Manifest
+	Part(digest manifest.Digest) ([]byte, error)
+}
+
 // Handler is the endpoint.
 type Handler struct {
 	Settings
@@ -77,7 +83,8 @@
 	h.mux.HandleFunc(pat.Post(peerclient.PathUpstreams+"/:upstream/drain"), h.drain)
 	h.mux.HandleFunc(pat.Get(peerclient.PathCustomers), h.customers)
 	h.mux.HandleFunc(pat.Get(peerclient.PathRequests+":request"), h.request)
-	h.mux.Handle(pat.Get(peerclient.PathConfig+"*"), s.Configuration)
+	h.mux.HandleFunc(pat.Get(peerclient.PathHead), h.head)
+	h.mux.HandleFunc(pat.Get(peerclient.PathParts+":digest"), h.part)
 	h.mux.Handle(pat.Get("/debug/vars"), expvar.Handler())
 	return h
 }
@@ -142,14 +149,11 @@
 }
 
 func (h *Handler) keep(w http.ResponseWriter, r *http.Request) {
-	in, ok := read[struct {
-		Budget  ident.Budget   `json:"budget"`
-		Funding ledger.Funding `json:"funding"`
-	}](w, r)
+	notice, ok := read[wallet.Notice](w, r)
 	if !ok {
 		return
 	}
-	h.Wallet.Keep(h.Clock(), in.Budget, in.Funding)
+	h.Wallet.Keep(h.Clock(), notice)
 	reply(w, struct{}{})
 }
 
@@ -223,6 +227,28 @@
 	reply(w, entries)
 }
 
+// head waits a while for a revision above the one that the peer holds.
+func (h *Handler) head(w http.ResponseWriter, r *http.Request) {
+	above, err := strconv.ParseInt(r.URL.Query().Get("above"), 10, 64)
+	if err != nil {
+		http.Error(w, "above: not a revision", http.StatusBadRequest)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), peerclient.HeadWait)
+	defer cancel()
+	reply(w, h.Configuration.AwaitHead(ctx, configuration.Revision(above)))
+}
+
+func (h *Handler) part(w http.ResponseWriter, r *http.Request) {
+	data, err := h.Configuration.Part(manifest.Digest(pat.Param(r, "digest")))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusNotFound)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(data) // the peer may have gone
+}
+
 // read decodes the body of a call, and refuses the call if it is malformed.
 func read[T any](w http.ResponseWriter, r *http.Request) (in T, ok bool) {
 	decoder := json.NewDecoder(r.Body)
--- /dev/null
+++ b/internal/peerclient/configuration.go
@@ -0,0 +1,48 @@
+package peerclient
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+
+	"github.com/ansel1/merry/v2"
+
+	"example.org/lagoonfork/internal/dispatch"
+	"example.org/lagoonfork/internal/manifest"
+	"example.org/lagoonfork/pkg/configuration"
+	"example.org/lagoonfork/pkg/ident"
+)
+
+// Head waits for a while until the peer holds a revision above the given one,
+// and returns the manifest of the one it holds.
+func (c *Client) Head(ctx context.Context, peer ident.VM, above configuration.Revision) (m manifest.Manifest, err error) {
+	defer func() { err = merry.Prependf(err, "reading the configuration's head from %s", peer) }()
+	address, ok := c.addressOf(peer)
+	if !ok {
+		return m, dispatch.ErrUnreachable
+	}
+	path := fmt.Sprintf("%s?above=%d", PathHead, above)
+	return call[manifest.Manifest](ctx, c, HeadWait+callTimeout, http.MethodGet, address, path, nil)
+}
+
+// Part returns the content of a part that the peer holds.
+func (c *Client) Part(ctx context.Context, peer ident.VM, digest manifest.Digest) (data []byte, err error) {
+	defer func() { err = merry.Prependf(err, "reading part %s from %s", digest, peer) }()
+	address, ok := c.addressOf(peer)
+	if !ok {
+		return nil, dispatch.ErrUnreachable
+	}
+	part, err := call[json.RawMessage](ctx, c, callTimeout, http.MethodGet, address, PathParts+string(digest), nil)
+	return part, err
+}
+
+func (c *Client) addressOf(vm ident.VM) (netip.AddrPort, bool) {
+	for _, m := range c.settings.Members.Peers(c.settings.Clock()) {
+		if m.VM == vm {
+			return m.Address, true
+		}
+	}
+	return netip.AddrPort{}, false
+}
--- a/internal/peerclient/peerclient.go
+++ b/internal/peerclient/peerclient.go
@@ -28,6 +28,7 @@
 	"example.org/lagoonfork/internal/ledger"
 	"example.org/lagoonfork/internal/membership"
 	"example.org/lagoonfork/internal/replay"
+	"example.org/lagoonfork/internal/wallet"
 	"example.org/lagoonfork/pkg/ident"
 	"example.org/lagoonfork/pkg/tokens"
 )
@@ -46,7 +47,8 @@
 	PathUpstreams = "/peer/v1/upstreams"
 	PathCustomers = "/peer/v1/customers"
 	PathRequests  = "/peer/v1/requests/"
-	PathConfig    = "/peer/v1/configuration/"
+	PathHead      = "/peer/v1/configuration/head"
+	PathParts     = "/peer/v1/configuration/parts/"
 )
 
 const (
@@ -54,6 +56,8 @@
 	callTimeout = 2 * time.Second
 	// AnswerWait is how long one call waits for the end of an answer.
 	AnswerWait = 5 * time.Second
+	// HeadWait is how long one call waits for a new configuration.
+	HeadWait = 4 * time.Second
 	// connectTimeout bounds the time to connect to a peer.
 	connectTimeout = time.Second
 	// idleTimeout closes pooled connections before middleboxes forget them.
@@ -156,14 +160,14 @@
 	return response.Returned, err
 }
 
-// Keep asks a member to hold a reserve of a budget.
-func (c *Client) Keep(ctx context.Context, m membership.Member, budget ident.Budget, funding ledger.Funding) (err error) {
-	defer func() { err = merry.Prependf(err, "asking %s to keep a reserve", m.VM) }()
-	request := struct {
-		Budget  ident.Budget   `json:"budget"`
-		Funding ledger.Funding `json:"funding"`
-	}{budget, funding}
-	_, err = call[struct{}](ctx, c, callTimeout, http.MethodPost, m.Address, PathKeep, request)
+// Keep asks a router to hold a reserve of a budget.
+func (c *Client) Keep(ctx context.Context, holder ident.Incarnation, notice wallet.Notice) (err error) {
+	defer func() { err = merry.Prependf(err, "asking %s to keep a reserve", holder) }()
+	address, ok := c.address(holder)
+	if !ok {
+		return dispatch.ErrUnreachable
+	}
+	_, err = call[struct{}](ctx, c, callTimeout, http.MethodPost, address, PathKeep, notice)
 	return err
 }
 
--- a/internal/routing/choice.go
+++ b/internal/routing/choice.go
@@ -22,14 +22,13 @@
 }
 
 func (c *choice) considerPrefixHolders() {
-	for _, p := range c.query.Prefixes {
-		for _, holder := range c.table.prefixes[p.Prefix] {
-			if holder.epoch == holder.member.cacheEpoch {
-				c.consider(holder.member, p.Length, ReasonPrefix)
-			}
-		}
-		if c.member != nil {
-			return
+	if c.query.Prefix == "" {
+		return
+	}
+	length := prefixLength(c.query.Prompt)
+	for _, holder := range c.table.prefixes[c.query.Prefix] {
+		if holder.epoch == holder.member.cacheEpoch {
+			c.consider(holder.member, length, ReasonPrefix)
 		}
 	}
 }
--- a/internal/routing/commands.go
+++ b/internal/routing/commands.go
@@ -179,6 +179,21 @@
 	SourceOperator
 )
 
+// String returns the name of a single source.
+func (s Source) String() string {
+	switch s {
+	case SourceReport:
+		return "report"
+	case SourceList:
+		return "list"
+	case SourcePeer:
+		return "peer"
+	case SourceOperator:
+		return "operator"
+	}
+	return "unknown"
+}
+
 // Leave records whether a source says that an upstream is leaving. It reports
 // whether the upstream's availability changed.
 func (t *Table) Leave(id ident.Upstream, source Source, leaving bool) (changed bool) {
@@ -198,37 +213,43 @@
 	return (before == 0) != (m.leaving == 0)
 }
 
-// Cached records that an upstream published a cache event for a prefix. An
-// event that does not follow the last one forgets all that was known of the
-// upstream's cache.
-func (t *Table) Cached(id ident.Upstream, sequence uint64, prefixes []Prefix) {
+// CacheEvent is an upstream's word that it holds a prefix, or no longer does.
+type CacheEvent struct {
+	Sequence uint64
+	Prefix   Prefix
+	Evicted  bool
+}
+
+// Cached takes in a cache event. An event that does not follow the last one
+// forgets all that was known of the upstream's cache.
+func (t *Table) Cached(id ident.Upstream, e CacheEvent) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	m := t.members[id]
 	if m == nil {
 		return
 	}
-	if sequence != m.cacheSeq+1 {
+	if e.Sequence != m.cacheSeq+1 {
 		m.forgetCache()
 	}
-	m.cacheSeq = sequence
-	for _, p := range prefixes {
-		t.hold(p, m)
+	m.cacheSeq = e.Sequence
+	t.drop(e.Prefix, m)
+	if !e.Evicted {
+		t.hold(e.Prefix, m)
 	}
 }
 
-// Expect records that the router itself sent a prompt with the prefixes to an
-// upstream, which will therefore have them cached.
-func (t *Table) Expect(id ident.Upstream, prefixes []PrefixLength) {
+// Expect records that the router itself sent a prompt with the prefix to an
+// upstream, which will therefore have it cached.
+func (t *Table) Expect(id ident.Upstream, p Prefix) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	m := t.members[id]
-	if m == nil {
+	if m == nil || p == "" {
 		return
 	}
-	for _, p := range prefixes {
-		t.hold(p.Prefix, m)
-	}
+	t.drop(p, m)
+	t.hold(p, m)
 }
 
 // Forget drops what was known of an upstream's cache.
@@ -244,13 +265,24 @@
 	m.cacheEpoch++
 }
 
+// drop removes m, and holders that have forgotten their cache, from the
+// holders of p.
+func (t *Table) drop(p Prefix, m *member) {
+	holders := slices.DeleteFunc(t.prefixes[p], func(h cached) bool {
+		return h.member == m || h.epoch != h.member.cacheEpoch
+	})
+	if len(holders) == 0 {
+		delete(t.prefixes, p)
+		return
+	}
+	t.prefixes[p] = holders
+}
+
 func (t *Table) hold(p Prefix, m *member) {
 	if len(t.prefixes) >= maxPrefixes {
 		clear(t.prefixes)
 	}
-	holders := slices.DeleteFunc(t.prefixes[p], func(h cached) bool {
-		return h.member == m || h.epoch != h.member.cacheEpoch
-	})
+	holders := t.prefixes[p]
 	if len(holders) == maxPrefixHolders {
 		holders = holders[1:]
 	}
--- a/internal/routing/prefix.go
+++ b/internal/routing/prefix.go
@@ -1,7 +1,7 @@
 package routing
 
 import (
-	"slices"
+	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -9,28 +9,28 @@
 )
 
 const (
-	// blockBytes is the length of prompt text that one prefix block covers.
-	blockBytes = 256
-	// maxBlocks bounds the number of prefixes of one prompt.
-	maxBlocks = 32
+	// prefixBytes is the length of the prompt's beginning that identifies the
+	// prompts which may share a cached prefix.
+	prefixBytes = 1024
 	// bytesPerToken is the mean length of a token in prompts.
 	bytesPerToken = 4
 )
 
-// Prefixes returns the block-aligned prefixes of a prompt, the longest first.
-func Prefixes(prompt string) []PrefixLength {
-	n := min(len(prompt)/blockBytes, maxBlocks)
-	prefixes := make([]PrefixLength, 0, n)
-	var digest xxhash.Digest
-	digest.Reset()
-	for i := range n {
-		block := prompt[i*blockBytes : (i+1)*blockBytes]
-		_, _ = digest.WriteString(block)
-		prefixes = append(prefixes, PrefixLength{
-			Prefix: Prefix(digest.Sum64()),
-			Length: tokens.Count((i + 1) * blockBytes / bytesPerToken),
-		})
+// Prefix identifies the beginning of a prompt. The router sends it to engines
+// as the cache key.
+type Prefix string
+
+// PrefixOf returns the prefix of a prompt, or an empty one if the prompt is too
+// short to be worth caching.
+func PrefixOf(prompt string) Prefix {
+	if len(prompt) < prefixBytes {
+		return ""
 	}
-	slices.Reverse(prefixes)
-	return prefixes
+	return Prefix(strconv.FormatUint(xxhash.Sum64String(prompt[:prefixBytes]), 16))
+}
+
+// prefixLength returns how much of a prompt an engine is expected to have
+// cached that holds its prefix.
+func prefixLength(prompt tokens.Count) tokens.Count {
+	return min(prompt, prefixBytes/bytesPerToken)
 }
--- a/internal/routing/queries.go
+++ b/internal/routing/queries.go
@@ -57,6 +57,17 @@
 	return all
 }
 
+// CacheSequence returns the sequence number of the last cache event taken in
+// from an upstream.
+func (t *Table) CacheSequence(id ident.Upstream) uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if m := t.members[id]; m != nil {
+		return m.cacheSeq
+	}
+	return 0
+}
+
 // Slots returns the number of requests that the available upstreams run at
 // once.
 func (t *Table) Slots(now time.Time) (slots int) {
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -76,8 +76,8 @@
 	Prompt tokens.Count
 	// Output bounds the length of the answer.
 	Output tokens.Count
-	// Prefixes are the prompt's block-aligned prefixes, the longest first.
-	Prefixes []PrefixLength
+	// Prefix is the prompt's prefix, if it has one.
+	Prefix Prefix
 	// Exclude lists the upstreams that this request has been tried on.
 	Exclude []ident.Upstream
 	// Isolate keeps the request apart from others that were in flight on a
@@ -85,15 +85,6 @@
 	Isolate bool
 }
 
-// Prefix is a digest of the first blocks of a prompt.
-type Prefix uint64
-
-// PrefixLength is a prefix and its length.
-type PrefixLength struct {
-	Prefix Prefix
-	Length tokens.Count
-}
-
 // Reason tells why an upstream was chosen.
 type Reason string
 
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -79,9 +79,8 @@
 
 func TestChoosePrefersCachedPrefixUntilItsQueueIsLong(t *testing.T) {
 	table := NewTable(service(20), Place{FailureDomain: "d0", Region: "r"})
-	prompt := string(make([]byte, 16*blockBytes))
-	q := Query{Prompt: 1024, Output: 100, Prefixes: Prefixes(prompt)}
-	table.Expect("u4", q.Prefixes)
+	q := Query{Prompt: 1024, Output: 100, Prefix: PrefixOf(string(make([]byte, 4096)))}
+	table.Expect("u4", q.Prefix)
 	d, err := table.Choose(start0, q, rng())
 	require.NoError(t, err)
 	assert.Equal(t, ident.Upstream("u4"), d.Upstream.ID)
@@ -95,12 +94,22 @@
 
 func TestCacheEventGapForgets(t *testing.T) {
 	table := NewTable(service(20), Place{})
-	q := Query{Prompt: 64, Prefixes: Prefixes(string(make([]byte, blockBytes)))}
-	table.Cached("u4", 1, []Prefix{q.Prefixes[0].Prefix})
-	table.Cached("u4", 3, nil)
-	d, err := table.Choose(start0, q, rng())
-	require.NoError(t, err)
-	assert.NotEqual(t, ReasonPrefix, d.Reason)
+	q := Query{Prompt: 1024, Prefix: PrefixOf(string(make([]byte, 4096)))}
+	held := func() bool {
+		d, err := table.Choose(start0, q, rng())
+		require.NoError(t, err)
+		return d.Reason == ReasonPrefix
+	}
+	table.Cached("u4", CacheEvent{Sequence: 1, Prefix: q.Prefix})
+	assert.True(t, held())
+	table.Cached("u4", CacheEvent{Sequence: 2, Prefix: "other"})
+	assert.True(t, held())
+	table.Cached("u4", CacheEvent{Sequence: 4, Prefix: "other"})
+	assert.False(t, held(), "event 3 may have been the eviction")
+	table.Cached("u4", CacheEvent{Sequence: 5, Prefix: q.Prefix})
+	assert.True(t, held())
+	table.Cached("u4", CacheEvent{Sequence: 6, Prefix: q.Prefix, Evicted: true})
+	assert.False(t, held())
 }
 
 func TestFinishTwiceCountsOnce(t *testing.T) {
@@ -120,7 +129,7 @@
 			for _, u := range table.Upstreams() {
 				table.Report(u.ID, Report{Backlog: 100, AsOf: start0})
 			}
-			q := Query{Prompt: 1024, Output: 100, Prefixes: Prefixes(string(make([]byte, 4096)))}
+			q := Query{Prompt: 1024, Output: 100, Prefix: PrefixOf(string(make([]byte, 4096)))}
 			r := rng()
 			b.ReportAllocs()
 			for b.Loop() {
