--- a/internal/ledger/check.go
+++ b/internal/ledger/check.go
@@ -23,7 +23,7 @@
 //   - Settled plus all Granted is at most the prepaid total plus Excess,
 //   - Reserved is at most Granted in each share,
 //   - Reserved is the sum over the holder's open claims,
-//   - and nothing is negative.
+//   - and no count is negative or beyond the bound of ops.
 func (p *Page) Check() error {
 	for id, b := range p.Budgets {
 		if err := b.check(); err != nil {
@@ -96,8 +96,8 @@
 		counts = append(counts, s.Granted, s.Reserved, s.Moved, s.Granted-s.Reserved)
 	}
 	for _, n := range counts {
-		if n < 0 {
-			return merry.Prependf(ErrInvariant, "negative count %d", n)
+		if !inRange(n) {
+			return merry.Prependf(ErrInvariant, "count %d out of range", n)
 		}
 	}
 	return nil
--- a/internal/ledger/share.go
+++ b/internal/ledger/share.go
@@ -74,6 +74,9 @@
 		}
 		return Result{Outcome: Applied, Granted: added}
 	}
+	if b.prepaid()+t.Tokens > maxCount {
+		return Result{Outcome: Invalid}
+	}
 	if b.TopUps == nil {
 		b.TopUps = make(map[ident.TopUp]tokens.Count)
 	}
