Read answers of engines through broken, silent and crossed connections

Cause: a connection to an engine can go silent for good, break, or carry the answer of another attempt, and a caller must get its own whole answer. Change: engineclient resumes a stream at the exact token over a fresh connection, checks the attempt on each response and chunk, and gives the reason to finish only once the answer is known to be whole. Plainclient forwards a call at most once and knows whether any byte of it was sent.

--- a/internal/engineclient/client.go
+++ b/internal/engineclient/client.go
@@ -5,6 +5,12 @@
 // becomes of the connections below it, or ends with an error that tells what
 // is known of the run.
 //
+// A connection that is silent past the limit is given up, and the answer is
+// read on from the next token over a new connection. The pooled connections to
+// that engine are dropped at the same time, as they may have gone silent too.
+//
+// The identifier of a run's request is unique over all callers of the engine.
+//
 // # Usage
 //
 //	c := engineclient.New(engineclient.Settings{SilenceLimit: limit, Log: log})
@@ -17,7 +23,7 @@
 //	defer s.Close()
 //	for {
 //		e, err := s.Next(ctx)
-//		if errors.Is(err, io.EOF) {
+//		if err == io.EOF {
 //			break // the answer is whole
 //		}
 //		...
@@ -29,14 +35,16 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"gopkg.in/tomb.v2"
 
+	"example.org/lagoonfork/internal/shard"
+	"example.org/lagoonfork/internal/transport"
 	"example.org/lagoonfork/pkg/configuration"
-	"example.org/lagoonfork/pkg/engine"
-	"example.org/lagoonfork/pkg/ident"
-	"example.org/lagoonfork/pkg/tokens"
 )
 
 // Defaults of Settings.
@@ -47,6 +55,14 @@
 	defaultResumeLimit    = 3
 )
 
+// Times of the housekeeping.
+const (
+	checksPerLimit = 8 // checks for silence within one silence limit
+	minCheck       = time.Millisecond
+	maxCheck       = time.Second
+	idlePeerLimit  = 10 * time.Minute // after which an unused peer is forgotten
+)
+
 // Settings of a Client. Zero values stand for defaults.
 type Settings struct {
 	// SilenceLimit is how long a connection may be silent while an answer is
@@ -61,86 +77,154 @@
 	ResumeLimit int
 	Log         hclog.Logger
 	Clock       func() time.Time
+	// Seed makes the jitter of resumptions repeatable.
+	Seed uint64
 }
 
-// Run is a dispatch of a request to an engine.
-type Run struct {
-	Request ident.Request
-	Attempt ident.Attempt
-	Model   ident.Model
-	// Body is the caller's JSON, with its token limits set by the router. The
-	// client changes only stream and stream_options.
-	Body     []byte
-	Priority int
-	// MaxOutput is the number of tokens after which the answer is cut.
-	MaxOutput tokens.Count
-	CacheKey  string
+func (s Settings) withDefaults() Settings {
+	if s.SilenceLimit == nil {
+		s.SilenceLimit = func() time.Duration { return defaultSilenceLimit }
+	}
+	if s.ConnectTimeout == 0 {
+		s.ConnectTimeout = defaultConnectTimeout
+	}
+	if s.CallTimeout == 0 {
+		s.CallTimeout = defaultCallTimeout
+	}
+	if s.ResumeLimit == 0 {
+		s.ResumeLimit = defaultResumeLimit
+	}
+	if s.Log == nil {
+		s.Log = hclog.NewNullLogger()
+	}
+	if s.Clock == nil {
+		s.Clock = time.Now
+	}
+	return s
 }
 
+// address is the key of a peer.
+type address string
+
 // Client talks to engines. Its methods are safe for concurrent use.
-type Client struct{}
+type Client struct {
+	settings Settings
+	peers    *shard.Map[address, *peer]
+	ctx      context.Context // ends with the client
+	t        tomb.Tomb
+
+	mu      sync.Mutex // guards what follows
+	closed  bool
+	crashes uint64
+	random  *rand.Rand
+}
 
 // New returns a client. Close releases it.
-func New(s Settings) *Client { panic("TODO") }
-
-// Close ends all streams and waits until their connections are closed.
-func (c *Client) Close() error { panic("TODO") }
-
-// Start sends a run to an engine and waits until the engine has accepted it.
-func (c *Client) Start(ctx context.Context, up configuration.Upstream, run Run) (*Stream, error) {
-	panic("TODO")
+func New(s Settings) *Client {
+	c := &Client{
+		settings: s.withDefaults(),
+		peers:    shard.NewMap[address, *peer](),
+		random:   rand.New(rand.NewPCG(s.Seed, 0)),
+	}
+	c.ctx = c.t.Context(nil)
+	c.t.Go(c.housekeep)
+	return c
 }
 
-// Resume reads the answer of a run that is at the engine already, from the
-// token that follows after. It serves a router that takes over a request.
-func (c *Client) Resume(ctx context.Context, up configuration.Upstream, run Run, after int) (*Stream, error) {
-	panic("TODO")
+// Close ends all streams and waits until their connections are closed.
+func (c *Client) Close() error {
+	c.mu.Lock()
+	c.closed = true
+	c.mu.Unlock()
+	c.t.Kill(nil)
+	c.peers.Each(func(_ address, p *peer) { p.transport.Close() })
+	return c.t.Wait()
 }
 
-// Load returns the engine's report of its load.
-func (c *Client) Load(ctx context.Context, up configuration.Upstream) (engine.Load, error) {
-	panic("TODO")
+// background runs f unless the client is closed. Close waits for it.
+func (c *Client) background(f func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return
+	}
+	c.t.Go(func() error {
+		f()
+		return nil
+	})
 }
 
-// CacheEvents returns the changes of the engine's prefix cache that follow the
-// sequence number after.
-func (c *Client) CacheEvents(ctx context.Context, up configuration.Upstream, after uint64) ([]engine.CacheEvent, error) {
-	panic("TODO")
+// peer returns the peer of an upstream.
+func (c *Client) peer(up configuration.Upstream) (p *peer, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return nil, ErrClosed
+	}
+	now := c.settings.Clock()
+	key := address(up.Address.String())
+	c.peers.Do(key, func(entries map[address]*peer) {
+		p = entries[key]
+		if p == nil {
+			p = newPeer(key, up.ID, c.transportSettings())
+			entries[key] = p
+		}
+		p.used = now
+	})
+	return p, nil
 }
 
-// Models returns the models that the engine offers.
-func (c *Client) Models(ctx context.Context, up configuration.Upstream) (engine.ModelList, error) {
-	panic("TODO")
+func (c *Client) transportSettings() transport.Settings {
+	return transport.Settings{
+		ConnectTimeout: c.settings.ConnectTimeout,
+		IdleLimit:      c.settings.SilenceLimit(),
+	}
 }
 
-// Order gives an order to the engine.
-func (c *Client) Order(ctx context.Context, up configuration.Upstream, order engine.Order) error {
-	panic("TODO")
+// housekeep gives up silent connections and forgets unused peers.
+func (c *Client) housekeep() error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-c.t.Dying():
+			return nil
+		case <-timer.C:
+		}
+		limit := c.settings.SilenceLimit()
+		c.check(limit, c.settings.Clock())
+		timer.Reset(min(max(limit/checksPerLimit, minCheck), maxCheck))
+	}
 }
 
-// Cancel stops the run of a request. Cancelling a run that has ended or is not
-// known succeeds.
-func (c *Client) Cancel(ctx context.Context, up configuration.Upstream, request ident.Request) error {
-	panic("TODO")
+func (c *Client) check(limit time.Duration, now time.Time) {
+	var unused []address
+	c.peers.Each(func(key address, p *peer) {
+		if p.check(limit, now) == 0 && now.Sub(p.used) >= idlePeerLimit {
+			unused = append(unused, key)
+		}
+	})
+	for _, key := range unused {
+		c.forget(key, now)
+	}
 }
 
-// ExportCache returns the cached prefix of key.
-func (c *Client) ExportCache(ctx context.Context, up configuration.Upstream, key string) (engine.CacheEntry, error) {
-	panic("TODO")
+// forget drops a peer unless it has been used in the meantime.
+func (c *Client) forget(key address, now time.Time) {
+	c.peers.Do(key, func(entries map[address]*peer) {
+		p := entries[key]
+		if p == nil || p.inUse() || now.Sub(p.used) < idlePeerLimit {
+			return
+		}
+		delete(entries, key)
+		p.transport.Close()
+	})
 }
 
-// ImportCache gives a prefix exported from another engine to the engine.
-func (c *Client) ImportCache(ctx context.Context, up configuration.Upstream, entry engine.CacheEntry) error {
-	panic("TODO")
+// nextCrash returns the number of a new crash.
+func (c *Client) nextCrash() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.crashes++
+	return c.crashes
 }
-
-// Stream is the answer of one run. It is used by one goroutine at a time,
-// except for Close.
-type Stream struct{}
-
-// Next waits for the next event. It returns io.EOF once the answer is whole.
-// After an error the stream has ended.
-func (s *Stream) Next(ctx context.Context) (engine.Event, error) { panic("TODO") }
-
-// Close releases the stream's connection. It does not cancel the run.
-func (s *Stream) Close() error { panic("TODO") }
--- /dev/null
+++ b/internal/engineclient/client_test.go
@@ -0,0 +1,395 @@
+package engineclient_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"example.org/lagoonfork/internal/engineclient"
+	fake "example.org/lagoonfork/internal/fake/engine"
+	"example.org/lagoonfork/pkg/configuration"
+	"example.org/lagoonfork/pkg/engine"
+	"example.org/lagoonfork/pkg/ident"
+	"example.org/lagoonfork/pkg/tokens"
+)
+
+const silenceLimit = 60 * time.Millisecond
+
+// bench is a client with one engine.
+type bench struct {
+	engine   *fake.Engine
+	client   *engineclient.Client
+	upstream configuration.Upstream
+	log      *bytes.Buffer
+}
+
+func newBench(t testing.TB, s fake.Settings) *bench {
+	t.Helper()
+	if s.HeartbeatEvery == 0 {
+		s.HeartbeatEvery = silenceLimit / 6
+	}
+	e, err := fake.New(s)
+	require.NoError(t, err)
+	log := new(bytes.Buffer)
+	c := engineclient.New(engineclient.Settings{
+		SilenceLimit: func() time.Duration { return silenceLimit },
+		Log:          hclog.New(&hclog.LoggerOptions{Output: log}),
+	})
+	t.Cleanup(func() {
+		assert.NoError(t, c.Close())
+		assert.NoError(t, e.Close())
+	})
+	return &bench{engine: e, client: c, upstream: configuration.Upstream{ID: "e1", Address: e.Address()}, log: log}
+}
+
+func chat(prompt string, maxTokens int) []byte {
+	body, _ := json.Marshal(struct {
+		Model     string           `json:"model"`
+		Messages  []engine.Message `json:"messages"`
+		MaxTokens int              `json:"max_tokens"`
+	}{"m", []engine.Message{{Role: "user", Content: prompt}}, maxTokens})
+	return body
+}
+
+func runOf(name, prompt string, maxTokens int) engineclient.Run {
+	return engineclient.Run{
+		Request:   ident.Request("r-" + name),
+		Attempt:   ident.Attempt("a-" + name),
+		Model:     "m",
+		Body:      chat(prompt, maxTokens),
+		MaxOutput: tokens.Count(maxTokens),
+	}
+}
+
+// answer is what a reader got of a stream.
+type answer struct {
+	text    string
+	indexes []int
+	finish  string
+	usage   *engine.Usage
+	err     error // nil for a whole answer
+}
+
+func read(t testing.TB, s *engineclient.Stream) (a answer) {
+	t.Helper()
+	for {
+		e, err := s.Next(t.Context())
+		if err == io.EOF {
+			return a
+		}
+		if err != nil {
+			a.err = err
+			return a
+		}
+		a.text += e.Text
+		if e.Index > 0 {
+			a.indexes = append(a.indexes, e.Index)
+		}
+		if e.FinishReason != "" {
+			a.finish = e.FinishReason
+		}
+		if e.Usage != nil {
+			a.usage = e.Usage
+		}
+	}
+}
+
+func (b *bench) run(t testing.TB, run engineclient.Run) answer {
+	t.Helper()
+	s, err := b.client.Start(t.Context(), b.upstream, run)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer func() { assert.NoError(t, s.Close()) }()
+	return read(t, s)
+}
+
+func assertWhole(t testing.TB, a answer, prompt string, maxTokens int) {
+	t.Helper()
+	require.NoError(t, a.err)
+	assert.Equal(t, fake.ExpectedAnswer(prompt, maxTokens), a.text)
+	for i, index := range a.indexes {
+		require.Equal(t, i+1, index)
+	}
+	require.NotNil(t, a.usage)
+	assert.EqualValues(t, len(a.indexes), a.usage.CompletionTokens)
+}
+
+func TestWholeAnswer(t *testing.T) {
+	b := newBench(t, fake.Settings{})
+	for _, limit := range []int{1, 10, 400} {
+		prompt := "clock of Levoča"
+		a := b.run(t, runOf("whole", prompt, limit))
+		assertWhole(t, a, prompt, limit)
+		assert.Contains(t, []string{engine.FinishLength, engine.FinishStop}, a.finish)
+	}
+}
+
+// TestStreamFaults brings about each fault of a stream on its first connection
+// and, persistently, on every connection.
+func TestStreamFaults(t *testing.T) {
+	const tokenCount = 20
+	prompt := fake.WithLength("dossier of Bardejov", tokenCount)
+	tests := []struct {
+		name       string
+		faults     fake.Faults
+		want       error // nil for a whole answer, on the first connection
+		persistent error // with the fault on every connection
+	}{
+		{"silent after a token", fake.Faults{SilentAfter: 7}, nil, nil},
+		{"silent from the start", fake.Faults{SilentAtStart: true}, nil, engineclient.ErrLost},
+		{"reset", fake.Faults{ResetAt: 5}, nil, nil},
+		{"cut", fake.Faults{CutAt: 5}, nil, nil},
+		{"cut after the last token", fake.Faults{CutAt: tokenCount}, nil, nil},
+		{"token repeated", fake.Faults{RepeatAt: 4}, nil, nil},
+		{"token left out", fake.Faults{SkipAt: 4}, nil, engineclient.ErrLost},
+		{"last token left out", fake.Faults{SkipAt: tokenCount}, nil, engineclient.ErrLost},
+		{"token late", fake.Faults{LateAt: 4}, nil, engineclient.ErrLost},
+		{"without the last event", fake.Faults{WithoutDone: true}, nil, engineclient.ErrLost},
+		{"token missing from usage", fake.Faults{WrongUsage: true}, nil, engineclient.ErrLost},
+		{"crossed chunk", fake.Faults{CrossedAt: 6}, engineclient.ErrCrossed, engineclient.ErrCrossed},
+		{"crossed header", fake.Faults{CrossedHeader: true}, engineclient.ErrCrossed, engineclient.ErrCrossed},
+	}
+	for _, test := range tests {
+		for _, persistent := range []bool{false, true} {
+			name, want := test.name, test.want
+			if persistent {
+				name, want = name+", persistent", test.persistent
+			}
+			t.Run(name, func(t *testing.T) {
+				b := newBench(t, fake.Settings{TokenPace: time.Millisecond})
+				faults := test.faults
+				faults.Persistent = persistent
+				b.engine.SetFaults(faults)
+				run := runOf("fault", prompt, 100)
+				a := b.run(t, run)
+				assert.Equal(t, 1, b.engine.Runs(run.Request))
+				if want == nil {
+					assertWhole(t, a, prompt, 100)
+					return
+				}
+				require.ErrorIs(t, a.err, want)
+				assert.True(t, engineclient.MayHaveRun(a.err))
+				assert.True(t, strings.HasPrefix(fake.ExpectedAnswer(prompt, 100), a.text), "delivered %q", a.text)
+				assert.NotContains(t, a.text, "another")
+			})
+		}
+	}
+}
+
+func TestErrorsOfStart(t *testing.T) {
+	tests := []struct {
+		name       string
+		faults     fake.Faults
+		crash      bool
+		body       []byte
+		want       error
+		mayHaveRun bool
+	}{
+		{name: "connection refused", crash: true, want: engineclient.ErrNotRun},
+		{name: "not run", faults: fake.Faults{NotRun: true}, want: engineclient.ErrNotRun},
+		{name: "unavailable without a promise", faults: fake.Faults{Unavailable: true}, want: engineclient.ErrLost, mayHaveRun: true},
+		{name: "no messages", body: []byte(`{"model":"m","max_tokens":4}`), want: engineclient.ErrRefused},
+		{name: "not an object", body: []byte(`[1]`), want: engineclient.ErrRefused},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			b := newBench(t, fake.Settings{})
+			b.engine.SetFaults(test.faults)
+			if test.crash {
+				b.engine.Crash()
+			}
+			run := runOf("start", "p", 4)
+			if test.body != nil {
+				run.Body = test.body
+			}
+			_, err := b.client.Start(t.Context(), b.upstream, run)
+			require.ErrorIs(t, err, test.want)
+			assert.Equal(t, test.mayHaveRun, engineclient.MayHaveRun(err))
+			assert.Zero(t, b.engine.Runs(run.Request))
+		})
+	}
+}
+
+func TestRefusalCarriesStatusAndMessage(t *testing.T) {
+	b := newBench(t, fake.Settings{Models: []engine.LoadedModel{{Model: "other"}}})
+	_, err := b.client.Start(t.Context(), b.upstream, runOf("refused", "p", 4))
+	var refusal *engineclient.RefusalError
+	require.ErrorAs(t, err, &refusal)
+	assert.Equal(t, 404, refusal.Status)
+	assert.Equal(t, "model not loaded", refusal.Message)
+}
+
+func TestAnswerPastItsLimitIsCutAndCancelled(t *testing.T) {
+	b := newBench(t, fake.Settings{TokenPace: time.Millisecond})
+	b.engine.SetFaults(fake.Faults{IgnoresMaxTokens: true})
+	prompt := fake.WithLength("quote", 100_000)
+	a := b.run(t, runOf("cut", prompt, 12))
+	require.NoError(t, a.err)
+	assert.Equal(t, fake.ExpectedAnswer(prompt, 12), a.text)
+	assert.Equal(t, engine.FinishLength, a.finish)
+	assert.Eventually(t, func() bool { return b.engine.Running() == 0 }, 10*time.Second, time.Millisecond)
+}
+
+func TestCrashNamesAllRunsInFlight(t *testing.T) {
+	b := newBench(t, fake.Settings{TokenPace: time.Millisecond})
+	first, err := b.client.Start(t.Context(), b.upstream, runOf("1", fake.WithLength("long", 100_000), 100_000))
+	require.NoError(t, err)
+	defer func() { _ = first.Close() }()
+	_, err = first.Next(t.Context())
+	require.NoError(t, err)
+	b.engine.SetFaults(fake.Faults{CrashOn: "poison"})
+
+	second := b.run(t, runOf("2", "poison", 10))
+	var crash, same *engineclient.CrashError
+	require.ErrorAs(t, second.err, &crash)
+	require.ErrorIs(t, second.err, engineclient.ErrCrashed)
+	assert.Equal(t, []engineclient.Flight{{Request: "r-1", Attempt: "a-1"}, {Request: "r-2", Attempt: "a-2"}}, crash.InFlight)
+	require.ErrorAs(t, read(t, first).err, &same)
+	assert.Equal(t, crash.Crash, same.Crash)
+
+	_, err = b.client.Start(t.Context(), b.upstream, runOf("3", "p", 10))
+	require.ErrorIs(t, err, engineclient.ErrNotRun)
+	b.engine.SetFaults(fake.Faults{})
+	require.NoError(t, b.engine.Restart())
+	assertWhole(t, b.run(t, runOf("4", "p", 10)), "p", 10)
+}
+
+func TestCrashWithQuickRestart(t *testing.T) {
+	b := newBench(t, fake.Settings{TokenPace: time.Millisecond})
+	s, err := b.client.Start(t.Context(), b.upstream, runOf("quick", fake.WithLength("long", 100_000), 100_000))
+	require.NoError(t, err)
+	defer func() { _ = s.Close() }()
+	b.engine.Crash()
+	require.NoError(t, b.engine.Restart())
+	require.ErrorIs(t, read(t, s).err, engineclient.ErrCrashed)
+}
+
+// TestMutedPoolIsDropped makes the pooled connections go silent before a run
+// and the connection of a stream in its midst.
+func TestMutedPoolIsDropped(t *testing.T) {
+	b := newBench(t, fake.Settings{TokenPace: time.Millisecond})
+	prompt := fake.WithLength("stream", 60)
+	s, err := b.client.Start(t.Context(), b.upstream, runOf("muted", prompt, 100))
+	require.NoError(t, err)
+	defer func() { _ = s.Close() }()
+	_, err = b.client.Load(t.Context(), b.upstream) // leaves a pooled connection
+	require.NoError(t, err)
+	b.engine.Mute()
+	assertWhole(t, read(t, s), prompt, 100)
+	assertWhole(t, b.run(t, runOf("after", "p", 10)), "p", 10)
+	assert.Equal(t, 1, b.engine.Runs("r-after"))
+}
+
+func TestSlowReaderIsNoSilence(t *testing.T) {
+	b := newBench(t, fake.Settings{})
+	prompt := fake.WithLength("slow reader", 1000)
+	s, err := b.client.Start(t.Context(), b.upstream, runOf("slow", prompt, 1000))
+	require.NoError(t, err)
+	defer func() { _ = s.Close() }()
+	time.Sleep(2 * silenceLimit)
+	assertWhole(t, read(t, s), prompt, 1000)
+	assert.NotContains(t, b.log.String(), "stream resumed")
+}
+
+func TestHeartbeatsAreNoSilence(t *testing.T) {
+	b := newBench(t, fake.Settings{Slots: 1, TokenPace: 5 * time.Millisecond})
+	first, err := b.client.Start(t.Context(), b.upstream, runOf("1", fake.WithLength("first", 40), 100))
+	require.NoError(t, err)
+	defer func() { _ = first.Close() }()
+	assertWhole(t, b.run(t, runOf("2", "queued", 10)), "queued", 10)
+	assert.NotContains(t, b.log.String(), "stream resumed")
+}
+
+func TestTakeOver(t *testing.T) {
+	b := newBench(t, fake.Settings{TokenPace: time.Millisecond})
+	prompt := fake.WithLength("taken over", 40)
+	run := runOf("over", prompt, 100)
+	s, err := b.client.Start(t.Context(), b.upstream, run)
+	require.NoError(t, err)
+	text := ""
+	for range 11 {
+		e, err := s.Next(t.Context())
+		require.NoError(t, err)
+		text += e.Text
+	}
+	require.NoError(t, s.Close())
+
+	run.Attempt = "a-second"
+	after, err := b.client.Resume(t.Context(), b.upstream, run, s.Received())
+	require.NoError(t, err)
+	defer func() { _ = after.Close() }()
+	rest := read(t, after)
+	require.NoError(t, rest.err)
+	assert.Equal(t, fake.ExpectedAnswer(prompt, 100), text+rest.text)
+	assert.Equal(t, 1, b.engine.Runs(run.Request))
+}
+
+func TestResumeOfUnknownRun(t *testing.T) {
+	b := newBench(t, fake.Settings{})
+	_, err := b.client.Resume(t.Context(), b.upstream, runOf("unknown", "p", 4), 3)
+	require.ErrorIs(t, err, engineclient.ErrLost)
+	require.ErrorIs(t, err, engineclient.ErrUnknownRun)
+	b.engine.Crash()
+	_, err = b.client.Resume(t.Context(), b.upstream, runOf("unknown", "p", 4), 3)
+	require.ErrorIs(t, err, engineclient.ErrLost)
+	assert.True(t, engineclient.MayHaveRun(err))
+}
+
+func TestContextEndsTheWait(t *testing.T) {
+	b := newBench(t, fake.Settings{TokenPace: time.Hour})
+	s, err := b.client.Start(t.Context(), b.upstream, runOf("ctx", "p", 4))
+	require.NoError(t, err)
+	defer func() { _ = s.Close() }()
+	_, err = s.Next(t.Context())
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(time.Millisecond, cancel)
+	_, err = s.Next(ctx)
+	require.ErrorIs(t, err, engineclient.ErrLost)
+	require.ErrorIs(t, err, context.Canceled)
+	_, again := s.Next(t.Context())
+	assert.Equal(t, err, again)
+}
+
+func TestClosedClient(t *testing.T) {
+	b := newBench(t, fake.Settings{TokenPace: time.Hour})
+	s, err := b.client.Start(t.Context(), b.upstream, runOf("open", "p", 4))
+	require.NoError(t, err)
+	_, err = s.Next(t.Context())
+	require.NoError(t, err)
+	time.AfterFunc(time.Millisecond, func() { _ = b.client.Close() })
+	_, err = s.Next(t.Context())
+	require.ErrorIs(t, err, engineclient.ErrLost)
+	assert.True(t, engineclient.MayHaveRun(err))
+	require.NoError(t, b.client.Close())
+	_, err = b.client.Start(t.Context(), b.upstream, runOf("closed", "p", 4))
+	require.ErrorIs(t, err, engineclient.ErrClosed)
+	assert.False(t, engineclient.MayHaveRun(err))
+}
+
+func TestCollect(t *testing.T) {
+	b := newBench(t, fake.Settings{TokenPace: time.Millisecond})
+	s, err := b.client.Start(t.Context(), b.upstream, runOf("collect", "p", 10))
+	require.NoError(t, err)
+	defer func() { _ = s.Close() }()
+	c, err := engine.Collect(t.Context(), s, "a-collect", "m", 0)
+	require.NoError(t, err)
+	assert.Equal(t, fake.ExpectedAnswer("p", 10), c.Choices[0].Message.Content)
+
+	b.engine.SetFaults(fake.Faults{SkipAt: 3, Persistent: true})
+	cut, err := b.client.Start(t.Context(), b.upstream, runOf("cut", "p", 10))
+	require.NoError(t, err)
+	defer func() { _ = cut.Close() }()
+	_, err = engine.Collect(t.Context(), cut, "a-cut", "m", 0)
+	require.True(t, errors.Is(err, engineclient.ErrLost))
+}
--- /dev/null
+++ b/internal/engineclient/commands.go
@@ -0,0 +1,62 @@
+package engineclient
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+
+	"github.com/ansel1/merry/v2"
+
+	"example.org/lagoonfork/internal/event"
+	"example.org/lagoonfork/internal/transport"
+	"example.org/lagoonfork/pkg/configuration"
+	"example.org/lagoonfork/pkg/engine"
+	"example.org/lagoonfork/pkg/ident"
+)
+
+// Order gives an order to the engine, once. It returns ErrStaleOrder if the
+// engine refused the order's fencing number, ErrNotRun if the engine certainly
+// did not carry it out, and ErrLost if it may have.
+func (c *Client) Order(ctx context.Context, up configuration.Upstream, order engine.Order) (err error) {
+	defer func() { err = merry.Prependf(err, "ordering %s at %s", order.Kind, up.ID) }()
+	err = c.do(ctx, up, call{method: http.MethodPost, path: engine.PathOrders, body: order, mode: transport.Fresh})
+	var refused *RefusalError
+	if errors.As(err, &refused) && refused.Status == http.StatusConflict {
+		event.OrderStale.Warn(c.settings.Log, "upstream", up.ID, "kind", order.Kind,
+			"fencingNumber", order.FencingNumber)
+		return fmt.Errorf("%w: %s", ErrStaleOrder, refused.Message)
+	}
+	return err
+}
+
+// Cancel stops the runs of a request. Cancelling a run that has ended or is not
+// known succeeds.
+func (c *Client) Cancel(ctx context.Context, up configuration.Upstream, request ident.Request) (err error) {
+	defer func() { err = merry.Prependf(err, "cancelling request %s at %s", request, up.ID) }()
+	return c.cancel(ctx, up, request, nil)
+}
+
+// ImportCache gives a prefix exported from another engine to the engine.
+func (c *Client) ImportCache(ctx context.Context, up configuration.Upstream, entry engine.CacheEntry) (err error) {
+	defer func() { err = merry.Prependf(err, "importing cache entry %q into %s", entry.Key, up.ID) }()
+	return c.do(ctx, up, call{method: http.MethodPost, path: engine.PathCacheImport, body: entry, mode: transport.Pooled})
+}
+
+func (c *Client) cancel(ctx context.Context, up configuration.Upstream, request ident.Request, header http.Header) error {
+	err := c.do(ctx, up, call{method: http.MethodDelete, path: streamPath(request), header: header, mode: transport.Fresh})
+	var refused *RefusalError
+	if errors.As(err, &refused) && (refused.Status == http.StatusNotFound || refused.Status == http.StatusGone) {
+		return nil
+	}
+	return err
+}
+
+// cancelRun stops the stream's run, and no other run of its request.
+func (s *Stream) cancelRun() {
+	header := http.Header{engine.HeaderAttempt: {string(s.run.Attempt)}}
+	if err := s.client.cancel(s.client.ctx, s.upstream, s.run.Request, header); err != nil {
+		event.CancelFailed.Warn(s.client.settings.Log, "request", s.run.Request, "attempt", s.run.Attempt,
+			"upstream", s.upstream.ID, "cause", err.Error())
+	}
+}
--- a/internal/engineclient/errors.go
+++ b/internal/engineclient/errors.go
@@ -23,6 +23,8 @@
 	// ErrRefused reports that the engine did not run the request because of
 	// the request itself.
 	ErrRefused = errors.New("refused by the engine")
+	// ErrUnknownRun comes with ErrLost if the engine does not know the run.
+	ErrUnknownRun = errors.New("run not known to the engine")
 	// ErrStaleOrder reports an order with an old fencing number.
 	ErrStaleOrder = errors.New("order has an old fencing number")
 	// ErrClosed reports a call of a closed client. Nothing was sent.
@@ -69,5 +71,10 @@
 // MayHaveRun reports whether the request of a run that ended with err may have
 // been run by the engine.
 func MayHaveRun(err error) bool {
-	return !errors.Is(err, ErrNotRun) && !errors.Is(err, ErrRefused) && !errors.Is(err, ErrClosed)
+	for _, certain := range []error{ErrNotRun, ErrRefused, ErrClosed} {
+		if errors.Is(err, certain) {
+			return false
+		}
+	}
+	return true
 }
--- a/internal/plainclient/client.go
+++ b/internal/plainclient/client.go
@@ -1,7 +1,9 @@
 // Package plainclient is the router's side of a plain service.
 //
 // A Client forwards one HTTP call to one upstream, at most once. It knows
-// exactly whether a call that failed may have reached the upstream.
+// exactly whether a call that failed may have reached the upstream: it may once
+// any byte of it was given to a connection. The whole response is read before
+// any of it is returned.
 //
 // # Usage
 //
@@ -17,28 +19,21 @@
 
 import (
 	"context"
-	"errors"
-	"net/http"
+	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 
+	"example.org/lagoonfork/internal/shard"
+	"example.org/lagoonfork/internal/transport"
 	"example.org/lagoonfork/pkg/configuration"
-	"example.org/lagoonfork/pkg/ident"
 )
 
-// Errors of a Client.
-var (
-	// ErrNotRun reports that no byte of the call was sent, or that the service
-	// refused it with the promise that it was not run.
-	ErrNotRun = errors.New("not run")
-	// ErrLost reports that the response is out of reach. The call may have run.
-	ErrLost = errors.New("response lost")
-	// ErrCrossed reports the response of another attempt. Nothing of it was
-	// delivered. The call may have run.
-	ErrCrossed = errors.New("response of another attempt")
-	// ErrTooLarge reports a response over the limit. The call may have run.
-	ErrTooLarge = errors.New("response too large")
+// Defaults of Settings.
+const (
+	defaultConnectTimeout = time.Second
+	defaultSilenceLimit   = 10 * time.Second
+	defaultMaxResponse    = 16 << 20 // bytes
 )
 
 // Settings of a Client. Zero values stand for defaults.
@@ -49,39 +44,82 @@
 	// MaxResponse bounds the body of a response, in bytes.
 	MaxResponse int64
 	Log         hclog.Logger
-	Clock       func() time.Time
 }
 
-// Call is an HTTP call of a caller.
-type Call struct {
-	Request ident.Request
-	Attempt ident.Attempt
-	Method  string
-	Path    string // with the query
-	Header  http.Header
-	Body    []byte
-	// Idempotent permits the use of a pooled connection.
-	Idempotent bool
+func (s Settings) withDefaults() Settings {
+	if s.ConnectTimeout == 0 {
+		s.ConnectTimeout = defaultConnectTimeout
+	}
+	if s.SilenceLimit == nil {
+		s.SilenceLimit = func() time.Duration { return defaultSilenceLimit }
+	}
+	if s.MaxResponse == 0 {
+		s.MaxResponse = defaultMaxResponse
+	}
+	if s.Log == nil {
+		s.Log = hclog.NewNullLogger()
+	}
+	return s
 }
 
-// Response is the whole response of a plain service.
-type Response struct {
-	Status int
-	Header http.Header // without the headers of the connection
-	Body   []byte
-}
+// address is the key of a transport.
+type address string
 
 // Client forwards calls. Its methods are safe for concurrent use.
-type Client struct{}
+type Client struct {
+	settings   Settings
+	transports *shard.Map[address, *transport.Transport]
+	ctx        context.Context // ends with the client
+	end        context.CancelFunc
+	calls      sync.WaitGroup
+
+	mu     sync.Mutex
+	closed bool
+}
 
 // New returns a client. Close releases it.
-func New(s Settings) *Client { panic("TODO") }
+func New(s Settings) *Client {
+	c := &Client{
+		settings:   s.withDefaults(),
+		transports: shard.NewMap[address, *transport.Transport](),
+	}
+	c.ctx, c.end = context.WithCancel(context.Background())
+	return c
+}
 
-// Close waits until the calls in progress have ended and closes all
-// connections.
-func (c *Client) Close() error { panic("TODO") }
+// Close ends the calls in progress, waits for them and closes all connections.
+func (c *Client) Close() error {
+	c.mu.Lock()
+	c.closed = true
+	c.mu.Unlock()
+	c.end()
+	c.calls.Wait()
+	c.transports.Each(func(_ address, t *transport.Transport) { t.Close() })
+	return nil
+}
+
+// begin counts a call in, unless the client is closed.
+func (c *Client) begin() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return false
+	}
+	c.calls.Add(1)
+	return true
+}
 
-// Forward sends the call once and returns the whole response.
-func (c *Client) Forward(ctx context.Context, up configuration.Upstream, call Call) (Response, error) {
-	panic("TODO")
+func (c *Client) transport(up configuration.Upstream) (t *transport.Transport) {
+	key := address(up.Address.String())
+	c.transports.Do(key, func(entries map[address]*transport.Transport) {
+		t = entries[key]
+		if t == nil {
+			t = transport.New(transport.Settings{
+				ConnectTimeout: c.settings.ConnectTimeout,
+				IdleLimit:      c.settings.SilenceLimit(),
+			})
+			entries[key] = t
+		}
+	})
+	return t
 }
--- /dev/null
+++ b/pkg/engine/decode.go
@@ -0,0 +1,136 @@
+package engine
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// ErrMalformed reports a body that breaks the protocol.
+var ErrMalformed = errors.New("malformed body")
+
+// DecodeChunk decodes a chunk of a streamed answer into c, whose memory it
+// uses again.
+func DecodeChunk(data []byte, c *Chunk) (err error) {
+	defer func() {
+		if err != nil {
+			err = merry.Prepend(err, "decoding a chunk")
+		}
+	}()
+	choices := c.Choices[:cap(c.Choices)]
+	clear(choices)
+	*c = Chunk{Choices: choices[:0]}
+	if err := json.Unmarshal(data, c); err != nil {
+		return malformed(err)
+	}
+	if u := c.Usage; u != nil && !u.valid() {
+		return malformed(errors.New("usage is negative or does not add up"))
+	}
+	return nil
+}
+
+// DecodeLoad decodes a load report.
+func DecodeLoad(r io.Reader) (l Load, err error) {
+	defer func() { err = merry.Prepend(err, "decoding a load report") }()
+	if err := decode(r, &l); err != nil {
+		return Load{}, err
+	}
+	if l.Slots < 0 || l.Running < 0 || l.Queued < 0 || l.QueuedTokens < 0 || l.RunningTokens < 0 {
+		return Load{}, malformed(errors.New("negative figure"))
+	}
+	return l, nil
+}
+
+// DecodeCacheEvents decodes cache events and checks that their sequence
+// numbers ascend.
+func DecodeCacheEvents(r io.Reader) (events []CacheEvent, err error) {
+	defer func() { err = merry.Prepend(err, "decoding cache events") }()
+	var body CacheEvents
+	if err := decode(r, &body); err != nil {
+		return nil, err
+	}
+	last := uint64(0)
+	for _, e := range body.Events {
+		if e.Sequence <= last {
+			return nil, malformed(errors.New("sequence numbers do not ascend"))
+		}
+		if e.Kind != CacheStored && e.Kind != CacheEvicted || e.Tokens < 0 {
+			return nil, malformed(errors.New("unknown kind or negative tokens"))
+		}
+		last = e.Sequence
+	}
+	return body.Events, nil
+}
+
+// DecodeOrder decodes and checks an order.
+func DecodeOrder(r io.Reader) (o Order, err error) {
+	defer func() { err = merry.Prepend(err, "decoding an order") }()
+	if err := decode(r, &o); err != nil {
+		return Order{}, err
+	}
+	if !o.valid() {
+		return Order{}, malformed(errors.New("kind and fields do not fit"))
+	}
+	return o, nil
+}
+
+// DecodeModels decodes a list of models.
+func DecodeModels(r io.Reader) (l ModelList, err error) {
+	defer func() { err = merry.Prepend(err, "decoding a list of models") }()
+	if err := decode(r, &l); err != nil {
+		return ModelList{}, err
+	}
+	return l, nil
+}
+
+// DecodeCacheEntry decodes an exported prefix.
+func DecodeCacheEntry(r io.Reader) (e CacheEntry, err error) {
+	defer func() { err = merry.Prepend(err, "decoding a cache entry") }()
+	if err := decode(r, &e); err != nil {
+		return CacheEntry{}, err
+	}
+	if e.Key == "" || e.Tokens < 0 {
+		return CacheEntry{}, malformed(errors.New("no key or negative tokens"))
+	}
+	return e, nil
+}
+
+// decode decodes one JSON value that fills r.
+func decode(r io.Reader, into any) error {
+	data, err := io.ReadAll(r)
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(data, into); err != nil {
+		return malformed(err)
+	}
+	return nil
+}
+
+func malformed(cause error) error {
+	return merry.Wrap(ErrMalformed, merry.WithCause(cause), merry.AppendMessage(cause.Error()))
+}
+
+func (u *Usage) valid() bool {
+	if u.PromptTokens < 0 || u.CompletionTokens < 0 {
+		return false
+	}
+	if d := u.Details; d != nil && (d.CachedTokens < 0 || d.CachedTokens > u.PromptTokens) {
+		return false
+	}
+	return u.TotalTokens == u.PromptTokens+u.CompletionTokens
+}
+
+func (o *Order) valid() bool {
+	switch o.Kind {
+	case OrderLoadModel, OrderUnloadModel:
+		return o.Model != ""
+	case OrderLoadAdapter:
+		return o.Model != "" && o.Adapter != ""
+	case OrderChangeRole:
+		return o.Role == RoleMixed || o.Role == RolePrefill || o.Role == RoleDecode
+	}
+	return false
+}
--- a/pkg/engine/engine.go
+++ b/pkg/engine/engine.go
@@ -221,14 +221,17 @@
 	Role          Role        `json:"role,omitempty"`
 }
 
-// Event is one event of a stream, checked to belong to its attempt.
+// Event is one event of an answer, checked to belong to its attempt. It carries
+// a token, or else the reason to finish.
 type Event struct {
 	// Index is the number of the token, from 1, or 0 if the event carries none.
-	Index        int
-	Text         string
+	Index int
+	Text  string
+	// FinishReason is set on the last event of a whole answer, and on no other.
 	FinishReason string
-	Usage        *Usage
-	// Raw is the chunk as the engine sent it. It is valid until the next call
-	// of Next. It is nil for the end of an answer that was cut.
+	// Usage may come with FinishReason.
+	Usage *Usage
+	// Raw is the chunk of a token as the engine sent it. It is valid until the
+	// next call of Next.
 	Raw []byte
 }
