--- a/internal/fake/keyvalue/client.go
+++ b/internal/fake/keyvalue/client.go
@@ -54,51 +54,44 @@
 		return 0, store.ErrTooLarge
 	}
 	value = bytes.Clone(value)
-	err = c.write(ctx, (*Counts).addWrite, func(s *Service) (err error) {
-		r, err = s.put(key, value, cond, lease)
-		return err
+	return write(ctx, c, (*Counts).addWrite, func(s *Service) (store.Revision, error) {
+		return s.put(key, value, cond, lease)
 	})
-	if err != nil {
-		return 0, err
-	}
-	return r, nil
 }
 
 // Delete implements store.Store.
 func (c *Client) Delete(ctx context.Context, key string, cond store.Condition) (err error) {
 	defer func() { err = merry.Prependf(err, "deleting %s", key) }()
-	return c.write(ctx, (*Counts).addWrite, func(s *Service) error {
-		return s.delete(key, cond)
+	_, err = write(ctx, c, (*Counts).addWrite, func(s *Service) (none, error) {
+		return none{}, s.delete(key, cond)
 	})
+	return err
 }
 
 // Grant implements store.Store.
 func (c *Client) Grant(ctx context.Context, ttl time.Duration) (lease store.Lease, err error) {
 	defer func() { err = merry.Prependf(err, "granting a lease of %s", ttl) }()
-	err = c.write(ctx, (*Counts).addLease, func(s *Service) error {
-		lease = s.grant(ttl)
-		return nil
+	return write(ctx, c, (*Counts).addLease, func(s *Service) (store.Lease, error) {
+		return s.grant(ttl), nil
 	})
-	if err != nil {
-		return store.NoLease, err
-	}
-	return lease, nil
 }
 
 // KeepAlive implements store.Store.
 func (c *Client) KeepAlive(ctx context.Context, lease store.Lease) (err error) {
 	defer func() { err = merry.Prependf(err, "keeping lease %d alive", lease) }()
-	return c.write(ctx, (*Counts).addLease, func(s *Service) error {
-		return s.renew(lease)
+	_, err = write(ctx, c, (*Counts).addLease, func(s *Service) (none, error) {
+		return none{}, s.renew(lease)
 	})
+	return err
 }
 
 // Revoke implements store.Store.
 func (c *Client) Revoke(ctx context.Context, lease store.Lease) (err error) {
 	defer func() { err = merry.Prependf(err, "revoking lease %d", lease) }()
-	return c.write(ctx, (*Counts).addLease, func(s *Service) error {
-		return s.revoke(lease)
+	_, err = write(ctx, c, (*Counts).addLease, func(s *Service) (none, error) {
+		return none{}, s.revoke(lease)
 	})
+	return err
 }
 
 // read runs f under the lock of the service, unless a fault prevents it.
@@ -123,38 +116,40 @@
 	return nil
 }
 
-// write runs f under the lock of the service, as the faults have it. The
-// results that f leaves behind count only if write returns no error.
-func (c *Client) write(ctx context.Context, count func(*Counts), f func(s *Service) error) error {
+// none is the result of a write that returns only an error.
+type none struct{}
+
+// write runs f under the lock of the service, as the faults have it.
+func write[T any](ctx context.Context, c *Client, count func(*Counts), f func(s *Service) (T, error)) (result T, err error) {
 	if err := ctx.Err(); err != nil {
-		return err
+		return result, err
 	}
 	if err := c.enter(count); err != nil {
-		return err
+		return result, err
 	}
 	interrupted := c.pause(ctx)
 	s := c.service
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if c.out() {
-		return store.ErrUnavailable
+		return result, store.ErrUnavailable
 	}
 	s.expire()
 	switch s.fate(c.faults) {
 	case fateAnswerLost:
-		_ = f(s) // the answer is lost, whatever it is
-		return store.ErrUnknown
+		_, _ = f(s) // the answer is lost, whatever it is
+		return result, store.ErrUnknown
 	case fateLost:
-		return store.ErrUnknown
+		return result, store.ErrUnknown
 	case fateHeld:
-		s.late = append(s.late, func() { _ = f(s) })
-		return store.ErrUnknown
+		s.late = append(s.late, func() { _, _ = f(s) })
+		return result, store.ErrUnknown
 	}
-	err := f(s)
 	if interrupted != nil {
-		return fmt.Errorf("%w: %w", store.ErrUnknown, interrupted)
+		_, _ = f(s)
+		return result, fmt.Errorf("%w: %w", store.ErrUnknown, interrupted)
 	}
-	return err
+	return f(s)
 }
 
 // enter counts a call and refuses it during an outage.
--- /dev/null
+++ b/internal/fake/keyvalue/contract_test.go
@@ -0,0 +1,45 @@
+package keyvalue_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"example.org/lagoonfork/internal/fake/keyvalue"
+	"example.org/lagoonfork/internal/fake/keyvalue/keyvaluetest"
+	"example.org/lagoonfork/pkg/store"
+	"example.org/lagoonfork/pkg/store/storetest"
+)
+
+func open(seed uint64) func(*testing.T) storetest.Harness {
+	return func(*testing.T) storetest.Harness {
+		service := keyvalue.New(keyvalue.Settings{Seed: seed})
+		client := service.Client()
+		return keyvaluetest.New(service, client, client)
+	}
+}
+
+func TestContract(t *testing.T) {
+	storetest.Run(t, func(t *testing.T) store.Store { return open(1)(t).Store })
+}
+
+func TestFaults(t *testing.T) {
+	storetest.RunFaults(t, open(1))
+}
+
+func TestHistories(t *testing.T) {
+	for seed := range uint64(20) {
+		storetest.RunHistories(t, seed, open(seed))
+	}
+}
+
+func TestClientFaultsAreItsOwn(t *testing.T) {
+	service := keyvalue.New(keyvalue.Settings{})
+	parted, healthy := service.Client(), service.Client()
+	parted.SetFaults(keyvalue.Faults{Outage: true})
+	_, err := parted.Get(t.Context(), "a")
+	assert.ErrorIs(t, err, store.ErrUnavailable)
+	_, err = healthy.Get(t.Context(), "a")
+	require.NoError(t, err)
+}
--- /dev/null
+++ b/pkg/store/storetest/faults.go
@@ -0,0 +1,221 @@
+package storetest
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"example.org/lagoonfork/pkg/store"
+)
+
+// Fault is a failure of the service.
+type Fault string
+
+// Faults. Those of one write concern a lease call as well.
+const (
+	// FaultOutage refuses all calls and ends the watches until healed.
+	FaultOutage Fault = "outage"
+	// FaultAnswerLost loses the answer of the next write after its effect.
+	FaultAnswerLost Fault = "answer lost"
+	// FaultWriteLost loses the next write before its effect.
+	FaultWriteLost Fault = "write lost"
+	// FaultWriteHeld loses the answer of the next write, which takes effect
+	// at Harness.Release.
+	FaultWriteHeld Fault = "write held"
+	// FaultSlow makes each call last longer than Harness.Short until healed.
+	FaultSlow Fault = "slow"
+	// FaultLossy loses a part of the writes and of the answers at random
+	// until healed.
+	FaultLossy Fault = "lossy"
+)
+
+// Harness is a store whose service fails as the test wants.
+type Harness struct {
+	Store store.Store
+	// Inject brings about a fault.
+	Inject func(f Fault)
+	// Heal ends all faults.
+	Heal func()
+	// Release lets the held writes take effect.
+	Release func()
+	// Advance moves the time of the service.
+	Advance func(d time.Duration)
+	// Compact drops all changes so far.
+	Compact func()
+	// Short is a time in which a healthy call ends and a slow one does not.
+	Short time.Duration
+}
+
+// faultCase is one row of the table of faults.
+type faultCase struct {
+	fault   Fault
+	call    string
+	run     func(c *contract, ctx context.Context) error
+	want    error
+	applied bool // after Release
+}
+
+// RunFaults runs the cases that need failures of the service. The function
+// open returns an empty store and its faults.
+func RunFaults(t *testing.T, open func(t *testing.T) Harness) {
+	for _, tt := range faultCases() {
+		t.Run(string(tt.fault)+"/"+tt.call, func(t *testing.T) {
+			h := open(t)
+			ctx, cancel := context.WithTimeout(context.Background(), patience)
+			defer cancel()
+			tt.check(&contract{T: t, ctx: ctx, store: h.Store}, h)
+		})
+	}
+	for _, tt := range []struct {
+		name string
+		run  func(c *contract, h Harness)
+	}{
+		{"outage ends watches", (*contract).outageEndsWatch},
+		{"leases lapse during an outage", (*contract).outageLapses},
+		{"lease lapses", (*contract).leaseLapses},
+		{"compaction", (*contract).compaction},
+		{"held write meets a later one", (*contract).heldConflict},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			h := open(t)
+			ctx, cancel := context.WithTimeout(context.Background(), patience)
+			defer cancel()
+			tt.run(&contract{T: t, ctx: ctx, store: h.Store}, h)
+		})
+	}
+}
+
+// faultCases is the table of faults by calls. The entry "a" has the value
+// "old" before each call and the lease of the contract.
+func faultCases() []faultCase {
+	read := func(c *contract, ctx context.Context) error {
+		_, err := c.store.Get(ctx, "a")
+		return err
+	}
+	list := func(c *contract, ctx context.Context) error {
+		_, _, err := c.store.List(ctx, "")
+		return err
+	}
+	watch := func(c *contract, ctx context.Context) error {
+		_, err := c.store.Watch(ctx, "", 0)
+		return err
+	}
+	put := func(c *contract, ctx context.Context) error {
+		_, err := c.store.Put(ctx, "a", []byte("new"), store.Always, store.NoLease)
+		return err
+	}
+	remove := func(c *contract, ctx context.Context) error {
+		return c.store.Delete(ctx, "a", store.Always)
+	}
+	grant := func(c *contract, ctx context.Context) error {
+		_, err := c.store.Grant(ctx, leaseTTL)
+		return err
+	}
+	return []faultCase{
+		{FaultOutage, "get", read, store.ErrUnavailable, false},
+		{FaultOutage, "list", list, store.ErrUnavailable, false},
+		{FaultOutage, "watch", watch, store.ErrUnavailable, false},
+		{FaultOutage, "put", put, store.ErrUnavailable, false},
+		{FaultOutage, "delete", remove, store.ErrUnavailable, false},
+		{FaultOutage, "grant", grant, store.ErrUnavailable, false},
+		{FaultAnswerLost, "put", put, store.ErrUnknown, true},
+		{FaultAnswerLost, "delete", remove, store.ErrUnknown, true},
+		{FaultAnswerLost, "grant", grant, store.ErrUnknown, false},
+		{FaultAnswerLost, "get", read, nil, false},
+		{FaultWriteLost, "put", put, store.ErrUnknown, false},
+		{FaultWriteLost, "delete", remove, store.ErrUnknown, false},
+		{FaultWriteHeld, "put", put, store.ErrUnknown, true},
+		{FaultWriteHeld, "delete", remove, store.ErrUnknown, true},
+		{FaultSlow, "get", read, store.ErrUnavailable, false},
+		{FaultSlow, "list", list, store.ErrUnavailable, false},
+		{FaultSlow, "watch", watch, store.ErrUnavailable, false},
+		{FaultSlow, "put", put, store.ErrUnknown, true},
+	}
+}
+
+func (tt faultCase) check(c *contract, h Harness) {
+	c.put("a", "old", store.Always, store.NoLease)
+	ctx := c.ctx
+	h.Inject(tt.fault)
+	if tt.fault == FaultSlow {
+		short, cancel := context.WithTimeout(c.ctx, h.Short)
+		defer cancel()
+		ctx = short
+	}
+	require.ErrorIs(c, tt.run(c, ctx), tt.want)
+	h.Heal()
+	h.Release()
+	if tt.applied {
+		changed := func() bool { return string(c.get("a").Value) != "old" }
+		require.Eventually(c, changed, patience, time.Millisecond)
+		return
+	}
+	assert.Equal(c, "old", string(c.get("a").Value))
+}
+
+func (c *contract) outageEndsWatch(h Harness) {
+	w := c.watch("", 0)
+	c.put("a", "", store.Always, store.NoLease)
+	_, reached := c.collect(w, 1)
+	h.Inject(FaultOutage)
+	_, err := w.Next(c.ctx)
+	require.ErrorIs(c, err, store.ErrUnavailable)
+	h.Heal()
+	c.put("a", "", store.Always, store.NoLease)
+	c.collect(c.watch("", reached), 1)
+}
+
+func (c *contract) outageLapses(h Harness) {
+	lease := c.grant()
+	c.put("a", "", store.Always, lease)
+	h.Inject(FaultOutage)
+	h.Advance(2 * leaseTTL)
+	h.Heal()
+	require.ErrorIs(c, c.store.KeepAlive(c.ctx, lease), store.ErrLeaseNotFound)
+	assert.Zero(c, c.get("a").Revision)
+}
+
+func (c *contract) leaseLapses(h Harness) {
+	lease := c.grant()
+	r := c.put("a", "", store.Always, lease)
+	w := c.watch("", r)
+	h.Advance(leaseTTL * 3 / 4)
+	require.NoError(c, c.store.KeepAlive(c.ctx, lease))
+	h.Advance(leaseTTL * 3 / 4)
+	assert.Equal(c, r, c.get("a").Revision)
+	h.Advance(leaseTTL)
+	events, _ := c.collect(w, 1)
+	assert.True(c, events[0].Deleted)
+	require.ErrorIs(c, c.store.KeepAlive(c.ctx, lease), store.ErrLeaseNotFound)
+	c.putFails("a", store.Always, lease, store.ErrLeaseNotFound)
+}
+
+func (c *contract) compaction(h Harness) {
+	first := c.put("a", "", store.Always, store.NoLease)
+	c.put("a", "", store.Always, store.NoLease)
+	h.Compact()
+	w, err := c.store.Watch(c.ctx, "", first)
+	if err == nil {
+		_, err = w.Next(c.ctx)
+		require.NoError(c, w.Close())
+	}
+	require.ErrorIs(c, err, store.ErrCompacted)
+
+	_, listed, err := c.store.List(c.ctx, "")
+	require.NoError(c, err)
+	last := c.put("a", "", store.Always, store.NoLease)
+	events, _ := c.collect(c.watch("", listed), 1)
+	assert.Equal(c, last, events[0].Entry.Revision)
+}
+
+func (c *contract) heldConflict(h Harness) {
+	r := c.put("a", "old", store.Always, store.NoLease)
+	h.Inject(FaultWriteHeld)
+	c.putFails("a", store.If(r), store.NoLease, store.ErrUnknown)
+	c.put("a", "new", store.If(r), store.NoLease)
+	h.Release()
+	assert.Equal(c, "new", string(c.get("a").Value))
+}
