--- a/pkg/store/storetest/faults.go
+++ b/pkg/store/storetest/faults.go
@@ -28,7 +28,7 @@
 	// FaultSlow makes each call last longer than Harness.Short until healed.
 	FaultSlow Fault = "slow"
 	// FaultLossy loses a part of the writes and of the answers at random
-	// until healed.
+	// until healed. A write takes effect before its call returns, or never.
 	FaultLossy Fault = "lossy"
 )
 
