--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -108,7 +108,7 @@
 		x.mayHaveRun = true
 	}
 	if errors.Is(err, engineclient.ErrCrashed) {
-		event.UpstreamCrashed.Warn(x.d.Log, "upstream", up.ID, "request", x.r.ID)
+		event.RequestAccused.Warn(x.d.Log, "upstream", up.ID, "request", x.r.ID)
 		x.d.Quarantine.Accuse(x.d.Clock(), x.r.content(), up.ID)
 		x.service.Table.Forget(up.ID)
 	}
@@ -285,7 +285,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
 	defer cancel()
 	if err := x.d.Engines.Cancel(ctx, up, request); err != nil {
-		event.CancelFailed.Info(x.d.Log, "request", x.r.ID, "upstream", up.ID, "error", err)
+		event.CancelNotSent.Info(x.d.Log, "request", x.r.ID, "upstream", up.ID, "error", err)
 	}
 }
 
--- a/internal/event/routing.go
+++ b/internal/event/routing.go
@@ -8,9 +8,9 @@
 		"All upstreams of a service are leaving or failed. Check the upstreams.")
 	RetryDecided = define(303, "retry decided",
 		"An attempt failed; field reason tells why it is or is not repeated.")
-	UpstreamCrashed = define(304, "upstream crashed",
+	RequestAccused = define(304, "request accused",
 		"An upstream died with the request in flight; the request is accused.")
-	CancelFailed = define(305, "cancel failed",
+	CancelNotSent = define(305, "cancel not sent",
 		"A run that nobody waits for could not be cancelled at its upstream.")
 )
 
--- /dev/null
+++ b/internal/probe/probe.go
@@ -0,0 +1,103 @@
+// Package probe asks a few other routers at a time whether they answer, and
+// gives the results to the membership.
+//
+// # Usage
+//
+//	p := probe.New(probe.Settings{Members: follower, Peers: client, ...})
+//	defer p.Close()
+package probe
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"gopkg.in/tomb.v2"
+
+	"example.org/lagoonfork/internal/membership"
+	"example.org/lagoonfork/internal/peerclient"
+	"example.org/lagoonfork/pkg/ident"
+)
+
+// sample is the number of peers asked in one round.
+const sample = 3
+
+// Settings of a Prober. All fields are required.
+type Settings struct {
+	Members  Members
+	Peers    Peers
+	Interval time.Duration // between two rounds
+	Clock    func() time.Time
+}
+
+// Members knows the other routers.
+type Members interface {
+	Peers(now time.Time) []membership.Member
+	Probe(now time.Time, vm ident.VM, answered bool)
+}
+
+// Peers asks a router for its status.
+type Peers interface {
+	Status(ctx context.Context, address netip.AddrPort) (peerclient.Status, error)
+}
+
+// Prober asks other routers at an interval.
+type Prober struct {
+	settings Settings
+	rng      *rand.Rand
+	tomb     tomb.Tomb
+}
+
+// New returns a prober and starts its work.
+func New(s Settings) *Prober {
+	p := &Prober{settings: s, rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
+	p.tomb.Go(p.loop)
+	return p
+}
+
+// Close ends the work and waits.
+func (p *Prober) Close() error {
+	p.tomb.Kill(nil)
+	return p.tomb.Wait()
+}
+
+func (p *Prober) loop() error {
+	ticker := time.NewTicker(p.settings.Interval)
+	defer ticker.Stop()
+	ctx := p.tomb.Context(context.Background())
+	for {
+		select {
+		case <-ticker.C:
+			p.round(ctx)
+		case <-p.tomb.Dying():
+			return nil
+		}
+	}
+}
+
+func (p *Prober) round(ctx context.Context) {
+	var g errgroup.Group
+	for _, m := range p.choose() {
+		g.Go(func() error {
+			p.ask(ctx, m)
+			return nil
+		})
+	}
+	_ = g.Wait() // the goroutines return no errors
+}
+
+func (p *Prober) ask(ctx context.Context, m membership.Member) {
+	_, err := p.settings.Peers.Status(ctx, m.Address)
+	if ctx.Err() == nil {
+		p.settings.Members.Probe(p.settings.Clock(), m.VM, err == nil)
+	}
+}
+
+// choose returns a random sample of the peers.
+func (p *Prober) choose() []membership.Member {
+	peers := p.settings.Members.Peers(p.settings.Clock())
+	p.rng.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	return peers[:min(sample, len(peers))]
+}
--- /dev/null
+++ b/internal/reclaim/reclaim.go
@@ -0,0 +1,135 @@
+// Package reclaim frees the shares of routers that can act no longer.
+//
+// Each router looks through the ledger pages that it owns for holders that are
+// not registered. A holder that has been absent for the lifetime of shares and
+// a grace for the bills that others may hold for it is reclaimed. The ledger
+// refuses the bills of a holder that was reclaimed and comes back.
+//
+// # Usage
+//
+//	r := reclaim.New(reclaim.Settings{Members: follower, Ledger: committer, ...})
+//	defer r.Close()
+package reclaim
+
+import (
+	"context"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"gopkg.in/tomb.v2"
+
+	"example.org/lagoonfork/internal/event"
+	"example.org/lagoonfork/internal/ledger"
+	"example.org/lagoonfork/internal/membership"
+	"example.org/lagoonfork/pkg/ident"
+)
+
+const (
+	// grace is how long other routers have to push the bills that they hold
+	// for a router which is gone.
+	grace = time.Minute
+	// callTimeout bounds the reading of one page, and the reclaiming of one
+	// holder.
+	callTimeout = 10 * time.Second
+)
+
+// Settings of a Reclaimer. All fields are required.
+type Settings struct {
+	Members  Members
+	Ledger   Ledger
+	Self     ident.Incarnation
+	Lifetime func() time.Duration // of shares
+	Interval time.Duration        // between two searches
+	Log      hclog.Logger
+}
+
+// Members knows which holders are gone.
+type Members interface {
+	Owner(page int) (membership.Member, bool)
+	Track(holders ...ident.Incarnation)
+	Forget(holder ident.Incarnation)
+	Gone(lifetime time.Duration) []ident.Incarnation
+}
+
+// Ledger reads pages and frees shares.
+type Ledger interface {
+	Pages() int
+	Page(ctx context.Context, n int) (*ledger.Page, error)
+	Reclaim(ctx context.Context, holder ident.Incarnation) error
+}
+
+// Reclaimer frees shares at an interval.
+type Reclaimer struct {
+	settings Settings
+	tomb     tomb.Tomb
+}
+
+// New returns a reclaimer and starts its work.
+func New(s Settings) *Reclaimer {
+	r := &Reclaimer{settings: s}
+	r.tomb.Go(r.loop)
+	return r
+}
+
+// Close ends the work and waits.
+func (r *Reclaimer) Close() error {
+	r.tomb.Kill(nil)
+	return r.tomb.Wait()
+}
+
+func (r *Reclaimer) loop() error {
+	ticker := time.NewTicker(r.settings.Interval)
+	defer ticker.Stop()
+	ctx := r.tomb.Context(context.Background())
+	for {
+		select {
+		case <-ticker.C:
+			r.Round(ctx)
+		case <-r.tomb.Dying():
+			return nil
+		}
+	}
+}
+
+// Round searches the owned pages once and reclaims the holders that are gone.
+func (r *Reclaimer) Round(ctx context.Context) {
+	for n := range r.settings.Ledger.Pages() {
+		if r.owns(n) {
+			r.search(ctx, n)
+		}
+	}
+	for _, holder := range r.settings.Members.Gone(r.settings.Lifetime() + grace) {
+		r.reclaim(ctx, holder)
+	}
+}
+
+func (r *Reclaimer) owns(page int) bool {
+	owner, ok := r.settings.Members.Owner(page)
+	return ok && owner.Incarnation == r.settings.Self
+}
+
+// search begins to count the absence of the holders on a page.
+func (r *Reclaimer) search(ctx context.Context, page int) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	p, err := r.settings.Ledger.Page(ctx, page)
+	if err != nil {
+		return // the page is read again in the next round
+	}
+	for _, b := range p.Budgets {
+		for holder := range b.Shares {
+			r.settings.Members.Track(holder)
+		}
+	}
+}
+
+func (r *Reclaimer) reclaim(ctx context.Context, holder ident.Incarnation) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if err := r.settings.Ledger.Reclaim(ctx, holder); err != nil {
+		event.ReclaimFailed.Warn(r.settings.Log, "holder", holder, "error", err)
+		return
+	}
+	event.HolderReclaimed.Info(r.settings.Log, "holder", holder)
+	r.settings.Members.Forget(holder)
+}
--- /dev/null
+++ b/internal/router/compose.go
@@ -0,0 +1,295 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"example.org/lagoonfork/internal/callerapi"
+	"example.org/lagoonfork/internal/configwatch"
+	"example.org/lagoonfork/internal/directory"
+	"example.org/lagoonfork/internal/dispatch"
+	"example.org/lagoonfork/internal/engineclient"
+	"example.org/lagoonfork/internal/ledger/committer"
+	"example.org/lagoonfork/internal/membership"
+	"example.org/lagoonfork/internal/membership/follower"
+	"example.org/lagoonfork/internal/membership/registration"
+	"example.org/lagoonfork/internal/peerapi"
+	"example.org/lagoonfork/internal/peerclient"
+	"example.org/lagoonfork/internal/plainclient"
+	"example.org/lagoonfork/internal/probe"
+	"example.org/lagoonfork/internal/quarantine/keeper"
+	"example.org/lagoonfork/internal/reclaim"
+	"example.org/lagoonfork/internal/routing"
+	"example.org/lagoonfork/internal/survey"
+	"example.org/lagoonfork/internal/wallet"
+	"example.org/lagoonfork/pkg/configuration"
+	"example.org/lagoonfork/pkg/ident"
+)
+
+const (
+	// journalSize is the number of requests whose decisions are kept.
+	journalSize = 10_000
+	// maxNotices bounds the notices that wait to be sent to keepers.
+	maxNotices = 256
+	// incarnationBytes is the number of random bytes of an incarnation.
+	incarnationBytes = 8
+
+	defaultLeaseTTL   = 10 * time.Second
+	defaultSurvey     = time.Second
+	defaultProbe      = 2 * time.Second
+	defaultReclaim    = 30 * time.Second
+	defaultMaintain   = time.Second
+	defaultQuarantine = 2 * time.Second
+
+	defaultMaxBody     = 4 << 20
+	defaultMaxHeader   = 32 << 10
+	defaultReadTimeout = 30 * time.Second
+	defaultIdleTimeout = 2 * time.Minute
+
+	// storeTimeout bounds one call of the key-value service.
+	storeTimeout = 2 * time.Second
+	// listInterval is the time between two readings of the platform's list.
+	listInterval = 2 * time.Second
+	// resyncInterval is the time between two listings of the registered VMs.
+	resyncInterval = 30 * time.Second
+	// probeFailures is the number of failed probes in a row that make a peer
+	// suspect.
+	probeFailures = 2
+)
+
+func (s Settings) withDefaults() Settings {
+	t := &s.Timing
+	setDefault(&t.LeaseTTL, defaultLeaseTTL)
+	setDefault(&t.Survey, defaultSurvey)
+	setDefault(&t.Probe, defaultProbe)
+	setDefault(&t.Reclaim, defaultReclaim)
+	setDefault(&t.Maintain, defaultMaintain)
+	setDefault(&t.Quarantine, defaultQuarantine)
+	l := &s.Limits
+	setDefault(&l.MaxBody, defaultMaxBody)
+	setDefault(&l.MaxHeader, defaultMaxHeader)
+	setDefault(&l.ReadTimeout, defaultReadTimeout)
+	setDefault(&l.IdleTimeout, defaultIdleTimeout)
+	return s
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// join registers the VM and begins to follow its peers and the configuration.
+func (r *Router) join() {
+	s := r.settings
+	record := membership.Record{
+		VM:            s.VM,
+		Incarnation:   r.incarnation,
+		Address:       r.peerAddress,
+		FailureDomain: s.FailureDomain,
+		Region:        s.Region,
+		Started:       s.Clock(),
+	}
+	r.registration = registration.New(registration.Settings{
+		Store:    s.Store,
+		Record:   record,
+		Clock:    s.Clock,
+		Log:      s.Log,
+		TTL:      s.Timing.LeaseTTL,
+		Interval: s.Timing.LeaseTTL / 4,
+		Timeout:  storeTimeout,
+	})
+	r.members = follower.New(follower.Settings{
+		Store:    s.Store,
+		VMs:      s.VMs,
+		View:     membership.Settings{Self: record, ProbeFailures: probeFailures, ProbeValidity: 4 * s.Timing.Probe, MaxGap: s.Timing.LeaseTTL / 2},
+		Clock:    s.Clock,
+		Log:      s.Log,
+		Timeout:  storeTimeout,
+		Resync:   resyncInterval,
+		Poll:     listInterval,
+		Lifetime: r.shareLifetime,
+	})
+	r.client = peerclient.New(peerclient.Settings{
+		Members: r.members,
+		Self:    r.incarnation,
+		Domain:  s.FailureDomain,
+		Secret:  s.Secret,
+		Clock:   s.Clock,
+	})
+	r.watcher = configwatch.Start(configwatch.Settings{
+		VM:    s.VM,
+		Store: s.Store,
+		Peers: r.client,
+		Live:  r.liveVMs,
+		Log:   s.Log,
+	})
+}
+
+// compose builds the parts that need a configuration.
+func (r *Router) compose() {
+	s := r.settings
+	policy := r.watcher.Current().Policy
+	r.ledger = committer.New(committer.Settings{
+		Store:     s.Store,
+		Pages:     policy.LedgerPages,
+		Retention: time.Duration(policy.ClaimRetentionSeconds) * time.Second,
+		Clock:     s.Clock,
+		Log:       s.Log,
+	})
+	r.wallet = wallet.New(wallet.Settings{
+		Holder:   r.incarnation,
+		Ledger:   r.ledger,
+		Peers:    r.client,
+		Policy:   r.policy,
+		Live:     r.liveRouters,
+		Clock:    s.Clock,
+		Log:      s.Log,
+		Interval: s.Timing.Maintain,
+		Announce: r.announce,
+	})
+	r.engines = engineclient.New(engineclient.Settings{SilenceLimit: r.silenceLimit, Log: s.Log, Clock: s.Clock})
+	r.plain = plainclient.New(plainclient.Settings{SilenceLimit: r.silenceLimit, Log: s.Log})
+	r.directory = directory.New(routing.Place{FailureDomain: s.FailureDomain, Region: s.Region}, r.liveRouters)
+	r.directory.Configure(s.Clock(), r.watcher.Current())
+	r.quarantine = keeper.New(keeper.Settings{Store: s.Store, Clock: s.Clock, Log: s.Log, Interval: s.Timing.Quarantine})
+	r.dispatcher = dispatch.New(dispatch.Settings{
+		Holder:     r.incarnation,
+		Wallet:     r.wallet,
+		Ledger:     r.ledger,
+		Engines:    r.engines,
+		Plain:      r.plain,
+		Directory:  r.directory,
+		Quarantine: r.quarantine,
+		Peers:      r.client,
+		Policy:     r.policy,
+		MayDeliver: r.mayDeliver,
+		Journal:    r.journal,
+		Clock:      s.Clock,
+		Log:        s.Log,
+	})
+	r.background()
+}
+
+// background starts the work that no request asks for.
+func (r *Router) background() {
+	s := r.settings
+	r.surveyor = survey.New(survey.Settings{
+		Directory: r.directory,
+		Engines:   r.engines,
+		VMs:       s.VMs,
+		Interval:  s.Timing.Survey,
+		Clock:     s.Clock,
+		Log:       s.Log,
+	})
+	r.prober = probe.New(probe.Settings{Members: r.members, Peers: r.client, Interval: s.Timing.Probe, Clock: s.Clock})
+	r.reclaimer = reclaim.New(reclaim.Settings{
+		Members:  r.members,
+		Ledger:   r.ledger,
+		Self:     r.incarnation,
+		Lifetime: r.shareLifetime,
+		Interval: s.Timing.Reclaim,
+		Log:      s.Log,
+	})
+	r.tomb.Go(r.followConfiguration)
+	r.tomb.Go(r.sendNotices)
+}
+
+// serve puts the endpoints into service.
+func (r *Router) serve() {
+	s := r.settings
+	r.peerHandler.set(peerapi.New(peerapi.Settings{
+		Secret:        s.Secret,
+		Dispatcher:    r.dispatcher,
+		Wallet:        r.wallet,
+		Ledger:        r.ledger,
+		Directory:     r.directory,
+		Journal:       r.journal,
+		Status:        r.Status,
+		Configuration: r.watcher,
+		Clock:         s.Clock,
+		Log:           s.Log,
+	}))
+	r.callerHandler.set(callerapi.New(callerapi.Settings{
+		Dispatcher: r.dispatcher,
+		Index:      r.watcher.Index,
+		Ready:      r.ready,
+		MaxBody:    s.Limits.MaxBody,
+		Clock:      s.Clock,
+		Log:        s.Log,
+	}))
+	r.serving.Store(true)
+}
+
+// followConfiguration puts each new revision in force in the directory.
+func (r *Router) followConfiguration() error {
+	for {
+		changed := r.watcher.Changed()
+		r.directory.Configure(r.settings.Clock(), r.watcher.Current())
+		select {
+		case <-changed:
+		case <-r.tomb.Dying():
+			return nil
+		}
+	}
+}
+
+// announce queues a notice for the budget's keepers. A notice that finds no
+// room is dropped; the wallet repeats it.
+func (r *Router) announce(n wallet.Notice) {
+	select {
+	case r.notices <- n:
+	default:
+	}
+}
+
+func (r *Router) sendNotices() error {
+	ctx := r.tomb.Context(context.Background())
+	for {
+		select {
+		case n := <-r.notices:
+			r.notify(ctx, n)
+		case <-r.tomb.Dying():
+			return nil
+		}
+	}
+}
+
+func (r *Router) policy() configuration.Policy {
+	return r.watcher.Current().Policy
+}
+
+func (r *Router) silenceLimit() time.Duration {
+	return time.Duration(r.policy().SilenceLimitMillis) * time.Millisecond
+}
+
+// shareLifetime is the lifetime of shares under the policy in force.
+func (r *Router) shareLifetime() time.Duration {
+	c := r.watcher.Current()
+	if c == nil {
+		return defaultShareLifetime
+	}
+	return time.Duration(c.Policy.ShareLifetimeSeconds) * time.Second
+}
+
+// mayDeliver reports whether the lease was confirmed within the lifetime of
+// shares.
+func (r *Router) mayDeliver(now time.Time) bool {
+	confirmed := r.registration.Confirmed()
+	return !confirmed.IsZero() && now.Sub(confirmed) < r.shareLifetime()
+}
+
+func (r *Router) liveVMs() []ident.VM {
+	var vms []ident.VM
+	for _, m := range r.members.Peers(r.settings.Clock()) {
+		if m.State == membership.StateLive {
+			vms = append(vms, m.VM)
+		}
+	}
+	return vms
+}
+
+func (r *Router) liveRouters() int {
+	return len(r.liveVMs()) + 1
+}
--- /dev/null
+++ b/internal/router/notify.go
@@ -0,0 +1,34 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"example.org/lagoonfork/internal/event"
+	"example.org/lagoonfork/internal/membership"
+	"example.org/lagoonfork/internal/share"
+	"example.org/lagoonfork/internal/wallet"
+)
+
+// defaultShareLifetime is the lifetime of shares before a configuration is
+// known.
+const defaultShareLifetime = 10 * time.Minute
+
+// notify tells the budget's keepers in the other failure domains that it is
+// being served.
+func (r *Router) notify(ctx context.Context, n wallet.Notice) {
+	var members []share.Member
+	for _, m := range r.members.Peers(r.settings.Clock()) {
+		if m.State == membership.StateLive {
+			members = append(members, share.Member{Holder: m.Incarnation, Domain: m.FailureDomain})
+		}
+	}
+	for domain, holder := range share.Keepers(n.Budget, members) {
+		if domain == r.settings.FailureDomain {
+			continue
+		}
+		if err := r.client.Keep(ctx, holder, n); err != nil {
+			event.KeeperNotTold.Info(r.settings.Log, "budget", n.Budget, "keeper", holder, "error", err)
+		}
+	}
+}
