Run the whole path in one process

Cause: the parts had not yet met. Change: embedded.Deployment runs routers, the key-value stand-in behind its gateway, engines and plain services; answers are published and watched as operators' are.

--- /dev/null
+++ b/internal/embedded/embedded.go
@@ -0,0 +1,252 @@
+// Package embedded runs a whole small deployment in one process: routers, the
+// platform's services and the upstreams, the latter two as stand-ins.
+//
+// The deployment is configured by the path that operators use: its answers are
+// checked, published to the key-value service and watched by the routers. The
+// addresses of the upstreams in the answers are replaced by those of the
+// stand-ins.
+//
+// # Usage
+//
+//	d, err := embedded.Start(ctx, embedded.Settings{Answers: a, Log: log})
+//	if err != nil {
+//		return err
+//	}
+//	defer d.Close(ctx)
+//	url := d.URL(0)
+package embedded
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/hashicorp/go-hclog"
+
+	"example.org/lagoonfork/internal/etcd"
+	"example.org/lagoonfork/internal/fake/engine"
+	"example.org/lagoonfork/internal/fake/gateway"
+	"example.org/lagoonfork/internal/fake/keyvalue"
+	"example.org/lagoonfork/internal/fake/plainservice"
+	"example.org/lagoonfork/internal/publication"
+	"example.org/lagoonfork/internal/router"
+	"example.org/lagoonfork/pkg/answers"
+	"example.org/lagoonfork/pkg/configuration"
+	"example.org/lagoonfork/pkg/ident"
+	"example.org/lagoonfork/pkg/store"
+)
+
+// secret is the secret of an embedded fleet, which only this process reaches.
+const secret = "embedded-fleet-secret"
+
+// Settings of a Deployment. Answers, Clock and Log are required.
+type Settings struct {
+	Answers answers.Answers
+	// Routers is the number of routers; 0 stands for one.
+	Routers int
+	// Listen is where the first router serves callers. The zero value is a
+	// free port of 127.0.0.1.
+	Listen netip.AddrPort
+	// Direct gives each router a client of the key-value stand-in in place of
+	// a connection to its gateway, so that tests can set faults of one router.
+	Direct bool
+	Timing router.Timing
+	Engine engine.Settings
+	Clock  func() time.Time
+	Log    hclog.Logger
+}
+
+// Deployment is a running deployment.
+type Deployment struct {
+	settings Settings
+	KeyValue *keyvalue.Service
+	Answers  answers.Answers
+	Engines  map[ident.Upstream]*engine.Engine
+	Plain    map[ident.Upstream]*plainservice.Service
+	Routers  []*router.Router
+	// Clients are the routers' clients of the key-value stand-in, if direct.
+	Clients []*keyvalue.Client
+	gateway *http.Server
+	address netip.AddrPort // of the gateway
+}
+
+// Start runs a deployment and waits until its routers serve callers.
+func Start(ctx context.Context, s Settings) (d *Deployment, err error) {
+	defer func() { err = merry.Prepend(err, "starting the embedded deployment") }()
+	d = &Deployment{
+		settings: s,
+		KeyValue: keyvalue.New(keyvalue.Settings{Clock: s.Clock}),
+		Engines:  make(map[ident.Upstream]*engine.Engine),
+		Plain:    make(map[ident.Upstream]*plainservice.Service),
+	}
+	if err = d.start(ctx); err != nil {
+		return nil, errors.Join(err, d.Close(ctx))
+	}
+	return d, nil
+}
+
+func (d *Deployment) start(ctx context.Context) error {
+	if err := d.startGateway(); err != nil {
+		return err
+	}
+	if err := d.startUpstreams(); err != nil {
+		return err
+	}
+	publisher := publication.New(d.KeyValue.Client(), publication.Settings{Log: d.settings.Log})
+	change := publication.Change{ID: "embedded", Answers: d.Answers}
+	if _, err := publisher.Apply(ctx, change); err != nil {
+		return err
+	}
+	for i := range max(d.settings.Routers, 1) {
+		if err := d.StartRouter(ctx, i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *Deployment) startGateway() error {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	d.address = l.Addr().(*net.TCPAddr).AddrPort()
+	d.gateway = &http.Server{Handler: gateway.New(d.KeyValue.Client()), ReadHeaderTimeout: time.Minute}
+	go func() { _ = d.gateway.Serve(l) }() // ends with Close
+	return nil
+}
+
+// startUpstreams starts a stand-in for each upstream and puts its address into
+// the answers.
+func (d *Deployment) startUpstreams() error {
+	d.Answers = answers.Canonical(d.settings.Answers)
+	for i := range d.Answers.Services {
+		service := &d.Answers.Services[i]
+		for j := range service.Upstreams {
+			address, err := d.startUpstream(service, service.Upstreams[j])
+			if err != nil {
+				return err
+			}
+			service.Upstreams[j].Address = address
+		}
+	}
+	return nil
+}
+
+func (d *Deployment) startUpstream(service *answers.Service, up answers.Upstream) (netip.AddrPort, error) {
+	if service.Kind == configuration.KindPlain {
+		p := plainservice.New(plainservice.Settings{Slots: up.Slots, Clock: d.settings.Clock})
+		d.Plain[up.ID] = p
+		return p.Address(), nil
+	}
+	s := d.settings.Engine
+	s.Slots = up.Slots
+	s.ChecksFencing = up.ChecksFencing
+	s.Clock = d.settings.Clock
+	e, err := engine.New(s)
+	if err != nil {
+		return netip.AddrPort{}, err
+	}
+	d.Engines[up.ID] = e
+	return e.Address(), nil
+}
+
+// StartRouter starts router i, in the place of a former one if there was one.
+func (d *Deployment) StartRouter(ctx context.Context, i int) error {
+	client, err := d.storeClient()
+	if err != nil {
+		return err
+	}
+	loopback := netip.MustParseAddrPort("127.0.0.1:0")
+	listen := loopback
+	if i == 0 && d.settings.Listen.IsValid() {
+		listen = d.settings.Listen
+	}
+	r, err := router.Start(ctx, router.Settings{
+		VM:            ident.VM(fmt.Sprintf("vm-%d", i)),
+		FailureDomain: d.domain(i),
+		Region:        "embedded",
+		CallerAddress: listen,
+		PeerAddress:   loopback,
+		Secret:        secret,
+		Store:         client,
+		Timing:        d.settings.Timing,
+		Clock:         d.settings.Clock,
+		Log:           d.settings.Log.Named(fmt.Sprintf("vm-%d", i)),
+	})
+	if err != nil {
+		return err
+	}
+	d.keep(i, r, client)
+	return nil
+}
+
+func (d *Deployment) keep(i int, r *router.Router, client store.Store) {
+	direct, _ := client.(*keyvalue.Client)
+	if i < len(d.Routers) {
+		d.Routers[i], d.Clients[i] = r, direct
+		return
+	}
+	d.Routers = append(d.Routers, r)
+	d.Clients = append(d.Clients, direct)
+}
+
+func (d *Deployment) storeClient() (store.Store, error) {
+	if d.settings.Direct {
+		return d.KeyValue.Client(), nil
+	}
+	return etcd.New(etcd.Settings{Addresses: []string{"http://" + d.address.String()}})
+}
+
+// domain spreads the routers over the failure domains of the upstreams.
+func (d *Deployment) domain(i int) ident.FailureDomain {
+	var domains []ident.FailureDomain
+	seen := make(map[ident.FailureDomain]bool)
+	for _, s := range d.Answers.Services {
+		for _, u := range s.Upstreams {
+			if !seen[u.FailureDomain] {
+				seen[u.FailureDomain] = true
+				domains = append(domains, u.FailureDomain)
+			}
+		}
+	}
+	if len(domains) == 0 {
+		return "embedded"
+	}
+	return domains[i%len(domains)]
+}
+
+// URL returns the base of the URLs of router i for callers.
+func (d *Deployment) URL(i int) string {
+	return "http://" + d.Routers[i].CallerAddress().String()
+}
+
+// CloseRouters drains the routers.
+func (d *Deployment) CloseRouters(ctx context.Context) error {
+	var errs []error
+	for _, r := range d.Routers {
+		errs = append(errs, r.Close(ctx))
+	}
+	d.Routers = nil
+	return errors.Join(errs...)
+}
+
+// Close drains the routers and ends the stand-ins.
+func (d *Deployment) Close(ctx context.Context) error {
+	errs := []error{d.CloseRouters(ctx)}
+	for _, e := range d.Engines {
+		errs = append(errs, e.Close())
+	}
+	for _, p := range d.Plain {
+		errs = append(errs, p.Close())
+	}
+	if d.gateway != nil {
+		errs = append(errs, d.gateway.Close())
+	}
+	return errors.Join(errs...)
+}
--- a/internal/survey/survey.go
+++ b/internal/survey/survey.go
@@ -46,7 +46,7 @@
 	Log       hclog.Logger
 }
 
-// Engines reads what engines report.
+// Engines reads what upstreams report.
 type Engines interface {
 	Load(ctx context.Context, up configuration.Upstream) (engine.Load, error)
 	CacheEvents(ctx context.Context, up configuration.Upstream, after uint64) ([]engine.CacheEvent, error)
@@ -95,9 +95,7 @@
 func (v *Surveyor) Round(ctx context.Context) {
 	v.readList(ctx)
 	for _, s := range v.settings.Directory.All() {
-		if s.Configuration.Kind == configuration.KindEngine {
-			v.askAll(ctx, s)
-		}
+		v.askAll(ctx, s)
 	}
 	v.settings.Directory.Resize(v.settings.Clock())
 }
@@ -165,7 +163,9 @@
 	}
 	v.leave(s, up.ID, routing.SourceReport, load.Leaving)
 	s.Table.Report(up.ID, report(load))
-	v.askCache(ctx, s, up)
+	if s.Configuration.Kind == configuration.KindEngine {
+		v.askCache(ctx, s, up)
+	}
 }
 
 func report(load engine.Load) routing.Report {
