--- /dev/null
+++ b/cmd/lagoonfork/embedded.go
@@ -0,0 +1,151 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/hashicorp/go-hclog"
+
+	"example.org/lagoonfork/examples"
+	"example.org/lagoonfork/internal/embedded"
+	"example.org/lagoonfork/internal/fake/engine"
+	"example.org/lagoonfork/pkg/answers"
+)
+
+// embeddedTokenPace is the time between two tokens of the stand-in engines.
+const embeddedTokenPace = 20 * time.Millisecond
+
+// drainTimeout bounds the draining of the routers.
+const drainTimeout = 30 * time.Second
+
+// embeddedCommand runs a deployment in one process.
+type embeddedCommand struct {
+	listen  string
+	answers string
+	once    bool
+	routers int
+	level   string
+}
+
+func registerEmbedded(ctx context.Context, app *kingpin.Application) {
+	c := new(embeddedCommand)
+	cmd := app.Command("embedded", "Run routers, a platform and upstreams in one process.")
+	cmd.Flag("listen", "IP address and port for callers.").Default("127.0.0.1:8080").StringVar(&c.listen)
+	cmd.Flag("answers", "File with the answers; an example by default.").StringVar(&c.answers)
+	cmd.Flag("once", "Send a sample of requests, audit the ledger and stop.").BoolVar(&c.once)
+	cmd.Flag("routers", "Number of routers.").Default("1").IntVar(&c.routers)
+	cmd.Flag("log-level", "trace, debug, info, warn or error.").Default("warn").StringVar(&c.level)
+	cmd.Action(func(*kingpin.ParseContext) error { return c.run(ctx, os.Stdout) })
+}
+
+func (c *embeddedCommand) run(ctx context.Context, out io.Writer) (err error) {
+	settings, keys, err := c.settings()
+	if err != nil {
+		return usageError{err}
+	}
+	d, err := embedded.Start(ctx, settings)
+	if err != nil {
+		return err
+	}
+	defer func() {
+		ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
+		defer cancel()
+		err = errors.Join(err, d.Close(ctx))
+	}()
+	if c.once {
+		return runSample(ctx, out, d, keys)
+	}
+	printCalls(out, d, keys)
+	<-ctx.Done()
+	return nil
+}
+
+func (c *embeddedCommand) settings() (s embedded.Settings, keys embedded.Keys, err error) {
+	document := examples.Jegvirag
+	if c.answers != "" {
+		document, err = os.ReadFile(c.answers)
+		if err != nil {
+			return s, nil, err
+		}
+	}
+	s.Answers, err = answers.Decode(document)
+	if err != nil {
+		return s, nil, err
+	}
+	if keys, err = embedded.PlainKeys(document); err != nil {
+		return s, nil, err
+	}
+	if s.Listen, err = c.address(); err != nil {
+		return s, nil, err
+	}
+	s.Routers = c.routers
+	s.Engine = engine.Settings{TokenPace: embeddedTokenPace}
+	s.Clock = time.Now
+	s.Log = newLogger(c.level, false)
+	return s, keys, nil
+}
+
+func (c *embeddedCommand) address() (a netip.AddrPort, err error) {
+	if c.once {
+		return a, nil // any free port
+	}
+	if a, err = netip.ParseAddrPort(c.listen); err != nil {
+		return a, fmt.Errorf("--listen: %w", err)
+	}
+	return a, nil
+}
+
+// runSample sends the sample and prints what came of it, as a table and as a
+// last line of JSON.
+func runSample(ctx context.Context, out io.Writer, d *embedded.Deployment, keys embedded.Keys) error {
+	s := &embedded.Sample{Deployment: d, Keys: keys}
+	report, err := s.Run(ctx)
+	printSteps(out, s.Steps)
+	if encodeErr := json.NewEncoder(out).Encode(report); encodeErr != nil {
+		return encodeErr
+	}
+	if err == nil && !report.Sound() {
+		err = errors.New("the audit of the ledger found a violation")
+	}
+	return err
+}
+
+func printSteps(out io.Writer, steps []embedded.Step) {
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "REQUEST\tSTATUS\tBILLED TOKENS\tCHECK")
+	for _, s := range steps {
+		check := "ok"
+		if s.Err != nil {
+			check = s.Err.Error()
+		}
+		fmt.Fprintf(table, "%s\t%d\t%s\t%s\n", s.Name, s.Status, s.Billed, check)
+	}
+	_ = table.Flush() // a closed terminal shows nothing
+}
+
+// printCalls prints calls that can be pasted into a shell.
+func printCalls(out io.Writer, d *embedded.Deployment, keys embedded.Keys) {
+	fmt.Fprintf(out, "Serving callers at %s. Try:\n", d.URL(0))
+	s := &embedded.Sample{Deployment: d, Keys: keys}
+	for _, call := range s.Calls() {
+		fmt.Fprintf(out, "\n%s\n", call)
+	}
+}
+
+func newLogger(level string, asJSON bool) hclog.Logger {
+	return hclog.New(&hclog.LoggerOptions{
+		Name:       "lagoonfork",
+		Level:      hclog.LevelFromString(level),
+		JSONFormat: asJSON,
+		Output:     os.Stderr,
+	})
+}
+
--- a/cmd/lagoonfork/main.go
+++ b/cmd/lagoonfork/main.go
@@ -3,12 +3,45 @@
 package main
 
 import (
+	"context"
+	"errors"
+	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
 )
 
+// Exit codes.
+const (
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+// usageError is an error in the command line or in a file that it names.
+type usageError struct{ error }
+
+// Unwrap returns the error itself.
+func (e usageError) Unwrap() error { return e.error }
+
 func main() {
 	app := kingpin.New("lagoonfork", "Routes requests to shared language models and bills them to prepaid budgets.")
-	kingpin.MustParse(app.Parse(os.Args[1:]))
+	app.HelpFlag.Short('h')
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	registerRouter(ctx, app)
+	registerEmbedded(ctx, app)
+	if _, err := app.Parse(os.Args[1:]); err != nil {
+		fmt.Fprintln(os.Stderr, "lagoonfork:", err)
+		os.Exit(exitCode(err))
+	}
+}
+
+func exitCode(err error) int {
+	var usage usageError
+	if errors.As(err, &usage) {
+		return exitUsage
+	}
+	return exitFailed
 }
--- a/internal/embedded/embedded.go
+++ b/internal/embedded/embedded.go
@@ -23,6 +23,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -250,3 +251,18 @@
 	}
 	return errors.Join(errs...)
 }
+
+// Allowed reports whether the configuration in force lets an application use a
+// service.
+func (d *Deployment) Allowed(customer ident.Customer, application ident.Application, service ident.Service) bool {
+	c, ok := d.Routers[0].Index().Customer(customer)
+	if !ok {
+		return false
+	}
+	for _, a := range c.Applications {
+		if a.ID == application {
+			return slices.Contains(a.Services, service)
+		}
+	}
+	return false
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -46,6 +46,7 @@
 	"example.org/lagoonfork/internal/survey"
 	"example.org/lagoonfork/internal/vmlist"
 	"example.org/lagoonfork/internal/wallet"
+	"example.org/lagoonfork/pkg/configuration"
 	"example.org/lagoonfork/pkg/ident"
 	"example.org/lagoonfork/pkg/store"
 )
@@ -212,6 +213,13 @@
 	return err
 }
 
+// Kill closes all connections at once and finishes nothing, as if the process
+// had died. It is for tests; Close still has to be called to free resources.
+func (r *Router) Kill() error {
+	r.draining.Store(true)
+	return errors.Join(r.callers.Close(), r.peers.Close())
+}
+
 // abort ends what runs before the router has a configuration.
 func (r *Router) abort() error {
 	return r.leave()
@@ -281,3 +289,6 @@
 		return nil
 	})
 }
+
+// Index returns the index of the configuration in force.
+func (r *Router) Index() *configuration.Index { return r.watcher.Index() }
