--- a/internal/vmlist/client.go
+++ b/internal/vmlist/client.go
@@ -9,48 +9,88 @@
 
 import (
 	"context"
-	"net/netip"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
 	"time"
 
-	"example.org/lagoonfork/pkg/ident"
+	"github.com/ansel1/merry/v2"
 )
 
-// State is the state of a VM on the platform's list.
-type State string
-
-// States of VMs.
 const (
-	StateLive    State = "live"
-	StateLeaving State = "leaving"
+	defaultTimeout = 2 * time.Second
+	maxResponse    = 8 << 20 // bytes
 )
 
-// VM is one entry of the platform's list.
-type VM struct {
-	ID            ident.VM            `json:"id"`
-	Address       netip.AddrPort      `json:"address"` // of the endpoint for peers
-	FailureDomain ident.FailureDomain `json:"failureDomain"`
-	Region        ident.Region        `json:"region"`
-	State         State               `json:"state"`
-}
-
 // Settings sets up a Client.
 type Settings struct {
 	// URL is the base of the platform's service, without /vms.
 	URL string
-	// Timeout bounds each call.
+	// Timeout bounds each call. The default is 2 s.
 	Timeout time.Duration
 }
 
 // Client reads the list over HTTP. It is safe for concurrent use.
 type Client struct {
-	settings Settings
+	url  string
+	http *http.Client
 }
 
-// NewClient returns a client.
-func NewClient(settings Settings) *Client { return &Client{settings: settings} }
+// NewClient returns a client. It makes no call.
+func NewClient(settings Settings) *Client {
+	timeout := settings.Timeout
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	return &Client{
+		url:  settings.URL + "/vms",
+		http: &http.Client{Transport: new(http.Transport), Timeout: timeout},
+	}
+}
 
 // List returns the list as the platform has it, which lags behind reality.
-func (c *Client) List(ctx context.Context) (vms []VM, err error) { return nil, nil }
+func (c *Client) List(ctx context.Context) (vms []VM, err error) {
+	defer func() { err = merry.Prepend(err, "reading the list of VMs") }()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.url, nil)
+	if err != nil {
+		return nil, err
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	// The body has been read by then, or the connection is given up.
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("status %d", response.StatusCode)
+	}
+	return decode(response.Body)
+}
 
 // Close closes idle connections.
-func (c *Client) Close() error { return nil }
+func (c *Client) Close() error {
+	c.http.CloseIdleConnections()
+	return nil
+}
+
+// decode reads a list and checks it.
+func decode(r io.Reader) (vms []VM, err error) {
+	data, err := io.ReadAll(io.LimitReader(r, maxResponse+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(data) > maxResponse {
+		return nil, errors.New("list too long")
+	}
+	if err := json.Unmarshal(data, &vms); err != nil {
+		return nil, err
+	}
+	for _, vm := range vms {
+		if err := vm.check(); err != nil {
+			return nil, err
+		}
+	}
+	return vms, nil
+}
