--- a/internal/ledger/apply.go
+++ b/internal/ledger/apply.go
@@ -64,6 +64,7 @@
 		return
 	}
 	b.changed = false
+	b.encoded = nil
 	p.changes++
 }
 
--- a/internal/ledger/check.go
+++ b/internal/ledger/check.go
@@ -42,6 +42,7 @@
 		n := b.prune(cutoff)
 		dropped += n
 		if n > 0 {
+			b.encoded = nil
 			p.changes++
 		}
 	}
--- a/internal/ledger/codec.go
+++ b/internal/ledger/codec.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"maps"
+	"slices"
 	"strconv"
 
 	"github.com/ansel1/merry/v2"
@@ -29,10 +31,78 @@
 	return Prefix + strconv.Itoa(n)
 }
 
-// Encode returns p as JSON. Equal pages have equal encodings.
+// Encode returns p as JSON. Equal pages have equal encodings. Only budgets that
+// changed since the last call are encoded anew, so a page is to be changed by
+// Apply and Prune alone.
 func Encode(p *Page) (data []byte, err error) {
 	defer func() { err = merry.Prepend(err, "encoding ledger page") }()
-	return json.Marshal(p)
+	budgets, err := p.encodeBudgets()
+	if err != nil {
+		return nil, err
+	}
+	return p.assemble(budgets)
+}
+
+// EncodeWrite returns p as JSON for a write that replaces revision base, and
+// the identifier of the write, which it adds to p.Writes.
+func EncodeWrite(p *Page, base int64) (data []byte, id WriteID, err error) {
+	defer func() { err = merry.Prepend(err, "encoding ledger page") }()
+	budgets, err := p.encodeBudgets()
+	if err != nil {
+		return nil, "", err
+	}
+	id = writeID(base, budgets)
+	p.Writes = append(p.Writes, id)
+	p.Writes = slices.Clone(p.Writes[max(0, len(p.Writes)-keptWrites):])
+	data, err = p.assemble(budgets)
+	return data, id, err
+}
+
+// keptWrites is the number of writes that a page identifies.
+const keptWrites = 32
+
+func writeID(base int64, budgets []byte) WriteID {
+	h := xxhash.NewWithSeed(uint64(base))
+	_, _ = h.Write(budgets)
+	return WriteID(strconv.FormatUint(h.Sum64(), 36))
+}
+
+func (p *Page) assemble(budgets []byte) ([]byte, error) {
+	return json.Marshal(struct {
+		Writes  []WriteID       `json:"writes,omitempty"`
+		Budgets json.RawMessage `json:"budgets"`
+	}{p.Writes, budgets})
+}
+
+// encodeBudgets returns the budgets as a JSON object in order of identifier.
+func (p *Page) encodeBudgets() ([]byte, error) {
+	ids := slices.Sorted(maps.Keys(p.Budgets))
+	buffer := []byte{'{'}
+	for i, id := range ids {
+		if i > 0 {
+			buffer = append(buffer, ',')
+		}
+		key, err := json.Marshal(id)
+		if err != nil {
+			return nil, err
+		}
+		value, err := p.Budgets[id].encode()
+		if err != nil {
+			return nil, err
+		}
+		buffer = append(buffer, key...)
+		buffer = append(buffer, ':')
+		buffer = append(buffer, value...)
+	}
+	return append(buffer, '}'), nil
+}
+
+func (b *Budget) encode() (data []byte, err error) {
+	if b.encoded != nil {
+		return b.encoded, nil
+	}
+	b.encoded, err = json.Marshal(b)
+	return b.encoded, err
 }
 
 // Decode returns the page that data encodes. It refuses unknown fields and
--- a/internal/ledger/committer/committer.go
+++ b/internal/ledger/committer/committer.go
@@ -2,8 +2,13 @@
 //
 // All ops that wait for one page are joined into one compare-and-swap, and a
 // page has one write in flight at a time. An op is answered only once its
-// effect is durable. Ops are idempotent, so that after a conflict or a lost
-// answer the committer reads the page and applies the ops again.
+// effect is durable. After a conflict the committer reads the page and applies
+// the ops again.
+//
+// Each write leaves its identifier on the page. After a lost answer the
+// committer reads the page: if it has the identifier, the ops are answered as
+// the write had them. If not, they are applied again. They are idempotent, so
+// this is safe also for a write that more than 32 others have followed.
 //
 // A write whose answer was lost may still take effect later, as long as the
 // page has the revision that the write was guarded by. Until the revision has
--- a/internal/ledger/committer/page.go
+++ b/internal/ledger/committer/page.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -25,10 +26,10 @@
 	pruned      time.Time
 	unavailable bool
 
-	// A write guarded by fence may still take effect while the page has that
-	// revision.
-	fenced bool
-	fence  store.Revision
+	// lost are the writes guarded by the revision fence whose answers were
+	// lost. They may still take effect while the page has that revision.
+	lost  []lostWrite
+	fence store.Revision
 
 	// pausedUntil is when the forwarder is tried again. It belongs to the
 	// goroutine that takes from forward.
@@ -40,6 +41,13 @@
 	known    bool
 }
 
+// lostWrite is a write without an answer.
+type lostWrite struct {
+	id      ledger.WriteID
+	batch   []*request
+	results []ledger.Result
+}
+
 // write commits batches for p until none waits.
 func (c *Committer) write(p *page) {
 	for {
@@ -85,7 +93,10 @@
 	if err != nil {
 		return withdrawn(batch), err
 	}
-	batch = begun(batch)
+	batch = begun(unfinished(batch))
+	if len(batch) == 0 {
+		return nil, nil
+	}
 	now := c.settings.Clock()
 	results, changed := p.apply(batch, now)
 	if !changed && !fresh && !p.mustWrite() {
@@ -98,7 +109,7 @@
 		results, changed = p.apply(batch, now)
 	}
 	if changed || p.mustWrite() {
-		if err = c.put(p, batch, now); err != nil {
+		if err = c.put(p, batch, results, now); err != nil {
 			return batch, err
 		}
 	}
@@ -122,11 +133,26 @@
 	}
 	p.current = decoded
 	p.revision = entry.Revision
-	p.fenced = p.fenced && p.fence == entry.Revision
 	p.publish(entry.Value, entry.Revision)
+	c.recover(p)
 	return true, nil
 }
 
+// recover answers the requests of a lost write that has taken effect, once the
+// page has changed. Then the other lost writes can take effect no longer.
+func (c *Committer) recover(p *page) {
+	if len(p.lost) == 0 || p.revision == p.fence {
+		return
+	}
+	for _, w := range p.lost {
+		if slices.Contains(p.current.Writes, w.id) {
+			c.counters.batch(len(w.batch))
+			c.answer(w.batch, w.results)
+		}
+	}
+	p.lost = nil
+}
+
 // apply applies the ops of batch in order, and reports whether they changed
 // the page.
 func (p *page) apply(batch []*request, now time.Time) (rs []ledger.Result, changed bool) {
@@ -139,12 +165,12 @@
 
 // mustWrite reports whether an earlier write may still take effect.
 func (p *page) mustWrite() bool {
-	return p.fenced
+	return len(p.lost) > 0
 }
 
 // put writes the page on condition that it has the revision that was read.
-func (c *Committer) put(p *page, batch []*request, now time.Time) error {
-	data, err := c.encode(p, now)
+func (c *Committer) put(p *page, batch []*request, results []ledger.Result, now time.Time) error {
+	data, id, err := c.encode(p, now)
 	if err != nil {
 		p.forget()
 		retreatAll(batch)
@@ -157,7 +183,7 @@
 	if err == nil {
 		c.counters.batch(len(batch))
 		p.revision = revision
-		p.fenced = false
+		p.lost = nil
 		p.publish(data, revision)
 		return nil
 	}
@@ -167,7 +193,7 @@
 		retreatAll(batch)
 		return err
 	}
-	p.fenced = true
+	p.lost = append(p.lost, lostWrite{id: id, batch: batch, results: results})
 	p.fence = base
 	for _, rq := range batch {
 		rq.unknown = true
@@ -177,22 +203,22 @@
 
 // encode drops claims past their retention from time to time, and returns the
 // page's encoding. It returns ledger.ErrPageFull if that is too long to write.
-func (c *Committer) encode(p *page, now time.Time) (data []byte, err error) {
+func (c *Committer) encode(p *page, now time.Time) (data []byte, id ledger.WriteID, err error) {
 	if now.Sub(p.pruned) >= c.settings.Retention/pruneFraction {
 		p.current.Prune(now, c.settings.Retention)
 		p.pruned = now
 	}
-	data, err = ledger.Encode(p.current)
+	data, id, err = ledger.EncodeWrite(p.current, int64(p.revision))
 	if err != nil || len(data) <= store.MaxValueSize {
-		return data, err
+		return data, id, err
 	}
 	if p.current.Prune(now, c.settings.Retention) > 0 {
-		data, err = ledger.Encode(p.current)
+		data, id, err = ledger.EncodeWrite(p.current, int64(p.revision))
 	}
 	if len(data) > store.MaxValueSize {
-		return nil, merry.Prependf(ledger.ErrPageFull, "%d bytes", len(data))
+		return nil, "", merry.Prependf(ledger.ErrPageFull, "%d bytes", len(data))
 	}
-	return data, err
+	return data, id, err
 }
 
 // pruneFraction is the part of the retention after which a page is pruned.
@@ -223,8 +249,11 @@
 
 // answer answers each request of batch with its result.
 func (c *Committer) answer(batch []*request, rs []ledger.Result) {
-	c.counters.Ops.Add(int64(len(batch)))
 	for i, rq := range batch {
+		if rq.over {
+			continue
+		}
+		c.counters.Ops.Add(1)
 		c.log(rq.op, rs[i])
 		if rq.deliver != nil {
 			c.pushed.add(-1)
@@ -284,7 +313,7 @@
 	var left []*request
 	for _, rq := range batch {
 		if rq.ctx.Err() != nil && rq.phase.Load() != phaseWaiting {
-			rq.finished()
+			rq.drop()
 			continue
 		}
 		left = append(left, rq)
--- a/internal/ledger/committer/request.go
+++ b/internal/ledger/committer/request.go
@@ -24,6 +24,8 @@
 	// unknown records that a write of the op had no answer. It belongs to the
 	// goroutine that writes the page.
 	unknown bool
+	// over records that the request is finished. It belongs to the same.
+	over bool
 }
 
 type answer struct {
@@ -109,6 +111,12 @@
 	if rq.deliver != nil && err == nil {
 		rq.deliver(r)
 	}
+	rq.drop()
+}
+
+// drop ends rq, whose caller waits no longer.
+func (rq *request) drop() {
+	rq.over = true
 	rq.finished()
 }
 
@@ -130,11 +138,22 @@
 			in = append(in, rq)
 			continue
 		}
-		rq.finished()
+		rq.drop()
 	}
 	return in
 }
 
+// unfinished returns the requests that are not answered or dropped.
+func unfinished(batch []*request) []*request {
+	var left []*request
+	for _, rq := range batch {
+		if !rq.over {
+			left = append(left, rq)
+		}
+	}
+	return left
+}
+
 // queue holds the requests that wait for one page.
 type queue struct {
 	mu      sync.Mutex
--- a/internal/ledger/page.go
+++ b/internal/ledger/page.go
@@ -32,10 +32,17 @@
 // Page is one page of the ledger. The zero value is an empty page.
 type Page struct {
 	Budgets map[ident.Budget]*Budget `json:"budgets"`
+	// Writes identifies the last writes of the page, the latest last, so that
+	// a writer whose answer was lost finds out whether its write took effect.
+	Writes []WriteID `json:"writes,omitempty"`
 
 	changes uint64
 }
 
+// WriteID identifies one write of a page: its content and the revision that it
+// replaces. Two writes with the same identifier have the same effect.
+type WriteID string
+
 // Budget is the account of one prepaid budget.
 type Budget struct {
 	Funding Funding                      `json:"funding"`
@@ -53,6 +60,7 @@
 	Pruned time.Time `json:"pruned,omitzero"`
 
 	changed bool
+	encoded []byte // as of the last Encode, nil once changed
 }
 
 // Share is what one holder may spend of a budget.
