Size shares by the mean rate and measure them

Cause: shares sized by short-term rates were too small for a long outage and uneven between holders; a holder that had returned all it was asked for was taken for empty.

Towards availability a share covers its lifetime at the mean drawing rate, and its part of the budget follows its part of the fleet's rate, for which a ledger result now carries what is settled. A recall notes what each holder brought.

--- a/internal/event/share.go
+++ b/internal/event/share.go
@@ -7,7 +7,7 @@
 	ShareReturned = define(251, "share returned",
 		"Unreserved tokens were handed back to the budget. Fields: budget, returned, reason.")
 	ShareRecalled = define(252, "share recalled",
-		"Another router was asked for tokens of an exhausted budget. Fields: budget, holder, want, returned.")
+		"Another router was asked for tokens of an exhausted budget. Fields: budget, holder, want, returned, error.")
 	ShareGivenBack = define(253, "share given back",
 		"Tokens were returned at the request of another router. Fields: budget, want, returned.")
 	BudgetExhausted = define(254, "budget exhausted",
--- a/internal/ledger/apply.go
+++ b/internal/ledger/apply.go
@@ -31,6 +31,7 @@
 	}
 	r := b.apply(op, now)
 	r.Free = b.Free()
+	r.Settled = b.Settled
 	p.collect(b)
 	return r
 }
--- a/internal/ledger/op.go
+++ b/internal/ledger/op.go
@@ -148,6 +148,9 @@
 	Granted tokens.Count `json:"granted,omitempty"`
 	// Free is what the budget has left to share out after the op.
 	Free tokens.Count `json:"free,omitempty"`
+	// Settled is what has been billed to the budget, from which holders see
+	// how fast all of them together spend.
+	Settled tokens.Count `json:"settled,omitempty"`
 	// Claim is the claim as it stands, where the op concerns one.
 	Claim *Claim `json:"claim,omitempty"`
 	// Holders lists the other shares of the budget after an exhausted draw.
--- a/internal/share/meter.go
+++ b/internal/share/meter.go
@@ -10,14 +10,18 @@
 // Meter estimates the drawing rate of one share. The zero value has seen
 // nothing. It is not safe for concurrent use.
 type Meter struct {
-	rate, peak float64 // tokens per second
+	rate, mean float64 // tokens per second
 	size       float64 // tokens of a usual reservation
-	at         int64   // Unix time in nanoseconds of rate and peak
+	at         int64   // Unix time in nanoseconds of rate and mean
 }
 
 const (
+	// rateWindow smooths the present rate, meanWindow the mean rate.
 	rateWindow = 5 * time.Second
-	peakWindow = 2 * time.Minute
+	meanWindow = 2 * time.Minute
+	// Observations of a Gauge closer to each other than shortestObservation
+	// count as one.
+	shortestObservation = time.Second
 	// sizeWeight is the weight of a new reservation in the usual size.
 	sizeWeight = 0.1
 )
@@ -39,21 +43,49 @@
 // Add counts n tokens as drawn; a negative n takes back what a reservation did
 // not use.
 func (m *Meter) Add(now time.Time, n tokens.Count) {
-	m.rate, m.peak = m.Rates(now)
+	m.rate, m.mean = m.Rates(now)
 	m.rate = max(m.rate+float64(n)/rateWindow.Seconds(), 0)
-	m.peak = max(m.peak, m.rate)
+	m.mean = max(m.mean+float64(n)/meanWindow.Seconds(), 0)
 	m.at = max(m.at, now.UnixNano())
 }
 
-// Rates returns the present and the highest recent rate in tokens per second.
-func (m *Meter) Rates(now time.Time) (rate, peak float64) {
+// Rates returns the present and the mean rate in tokens per second.
+func (m *Meter) Rates(now time.Time) (rate, mean float64) {
 	age := float64(now.UnixNano() - m.at)
 	if m.at == 0 || age <= 0 {
-		return m.rate, m.peak
+		return m.rate, m.mean
 	}
 	rate = m.rate * math.Exp(-age/float64(rateWindow))
-	peak = m.peak * math.Exp(-age/float64(peakWindow))
-	return rate, max(rate, peak)
+	mean = m.mean * math.Exp(-age/float64(meanWindow))
+	return rate, mean
+}
+
+// Gauge estimates how fast all holders together spend a budget, from what the
+// ledger tells. The zero value has seen nothing. It is not safe for concurrent
+// use.
+type Gauge struct {
+	rate    float64 // tokens per second
+	settled tokens.Count
+	at      int64 // Unix time in nanoseconds of settled
+}
+
+// Observe takes in what has been billed to the budget up to now.
+func (g *Gauge) Observe(now time.Time, settled tokens.Count) {
+	age := time.Duration(now.UnixNano() - g.at)
+	if g.at != 0 && age < shortestObservation {
+		return
+	}
+	if g.at != 0 && settled >= g.settled {
+		rate := float64(settled-g.settled) / age.Seconds()
+		weight := 1 - math.Exp(-float64(age)/float64(meanWindow))
+		g.rate += weight * (rate - g.rate)
+	}
+	g.settled, g.at = settled, now.UnixNano()
+}
+
+// Rate returns the rate in tokens per second.
+func (g *Gauge) Rate() float64 {
+	return g.rate
 }
 
 // Request returns the usual size of a reservation in tokens.
--- a/internal/share/policy.go
+++ b/internal/share/policy.go
@@ -11,17 +11,19 @@
 	// Lean is 0 for caution and 1 for availability. Values between them are
 	// for measurements.
 	Lean float64
-	// Horizon is how long a share should last at the drawing rate.
-	Horizon time.Duration
+	// Horizon is how long a share should last at the present drawing rate,
+	// Reach at the mean one.
+	Horizon, Reach time.Duration
 	// ReserveRequests is the number of usual requests that a budget in use is
 	// kept ready for, whatever its drawing rate.
 	ReserveRequests int
-	// FreeFraction bounds all shares together to this part of what is left,
-	// while they are of equal size.
+	// FreeFraction bounds all shares together to this part of what is left.
 	FreeFraction float64
 	// SpreadDomains tells to keep a reserve of each budget in use in every
 	// failure domain, also where no router serves it.
 	SpreadDomains bool
+	// RefillLevel is the part of its target below which a share is refilled.
+	RefillLevel float64
 	// IdleLimit is how long a share may go unused before it is handed back.
 	IdleLimit time.Duration
 	// RefusalAllowance is how long a request may wait for tokens.
@@ -30,15 +32,16 @@
 
 // Bounds of the settings between which Lean chooses.
 const (
-	defaultHorizon         = 10 * time.Second
-	defaultAllowance       = 500 * time.Millisecond
-	availabilityHorizons   = 9.0 // horizons that a share lasts, on top of the first
-	cautionReserve         = 2.0
-	availabilityReserve    = 8.0
-	cautionFraction        = 0.5
-	availabilityFraction   = 0.9
-	cautionIdleHorizons    = 3.0
-	availabilityIdleFactor = 27.0
+	defaultHorizon       = 10 * time.Second
+	defaultLifetime      = 90 * time.Second
+	defaultAllowance     = 500 * time.Millisecond
+	cautionRefill        = 0.5
+	availabilityRefill   = 0.85
+	cautionReserve       = 2.0
+	availabilityReserve  = 8.0
+	cautionFraction      = 0.5
+	availabilityFraction = 0.95
+	idleHorizons         = 3 // at caution; the share's lifetime is added at availability
 )
 
 // NewPolicy returns the policy on shares that a configuration's policy means.
@@ -49,12 +52,18 @@
 	}
 	horizon := time.Duration(c.RefillHorizonSeconds) * time.Second
 	allowance := time.Duration(c.RefusalAllowanceMillis) * time.Millisecond
-	return Lean(lean, horizon, allowance)
+	lifetime := time.Duration(c.ShareLifetimeSeconds) * time.Second
+	return Lean(lean, horizon, lifetime, allowance)
 }
 
 // Lean returns the policy for a lean between 0, caution, and 1, availability.
-// The horizon is that of caution. Zero durations stand for 10 s and 500 ms.
-func Lean(lean float64, horizon, allowance time.Duration) Policy {
+// Reach grows from nothing at caution to the share's lifetime at availability,
+// for which a holder may spend it without the key-value service. Zero
+// durations stand for 10 s, 90 s and 500 ms.
+func Lean(lean float64, horizon, lifetime, allowance time.Duration) Policy {
+	if lifetime <= 0 {
+		lifetime = defaultLifetime
+	}
 	if horizon <= 0 {
 		horizon = defaultHorizon
 	}
@@ -64,16 +73,16 @@
 	between := func(caution, availability float64) float64 {
 		return caution + lean*(availability-caution)
 	}
-	times := func(factor float64) time.Duration {
-		return time.Duration(float64(horizon) * factor)
-	}
+	reach := time.Duration(lean * float64(lifetime))
 	return Policy{
 		Lean:             lean,
-		Horizon:          times(1 + lean*availabilityHorizons),
+		Horizon:          horizon,
+		Reach:            reach,
 		ReserveRequests:  int(between(cautionReserve, availabilityReserve)),
 		FreeFraction:     between(cautionFraction, availabilityFraction),
 		SpreadDomains:    lean > 0,
-		IdleLimit:        times(cautionIdleHorizons + lean*availabilityIdleFactor),
+		RefillLevel:      between(cautionRefill, availabilityRefill),
+		IdleLimit:        idleHorizons*horizon + reach,
 		RefusalAllowance: allowance,
 	}
 }
--- a/internal/share/recall.go
+++ b/internal/share/recall.go
@@ -8,20 +8,24 @@
 	"example.org/lagoonfork/pkg/tokens"
 )
 
-// planRecall asks the other holders for what the waiting reservations lack,
-// largest free share first. Nobody is asked if all together cannot cover the
-// reservation to be served next.
+// maxDoublings bounds how often the number of tokens asked for is doubled.
+const maxDoublings = 8
+
+// planRecall asks the other holders for what the reservation to be served next
+// lacks, largest free share first. They may have reserved more than the ledger
+// knows, so each round asks for twice as much as the one before. Nobody is
+// asked if all together cannot cover the reservation.
 func planRecall(s State, d Decision, short, least tokens.Count) Decision {
-	d.Recalls = recalls(s.Holders, short-s.Pool)
-	if s.Pool+total(d.Recalls) < least {
-		d.Action, d.Reason, d.Recalls = ActionRefuse, ReasonSpent, nil
-		return d
-	}
-	if len(d.Recalls) == 0 {
+	if s.Pool >= least {
 		d.Action, d.Reason = ActionDraw, ReasonLast
 		d.Want, d.Least = min(short, s.Pool), least
 		return d
 	}
+	missing := least - s.Pool
+	if d.Recalls = recalls(s.Holders, missing<<min(s.Round, maxDoublings)); total(d.Recalls) < missing {
+		d.Action, d.Reason, d.Recalls = ActionRefuse, ReasonSpent, nil
+		return d
+	}
 	d.Action, d.Reason = ActionRecall, ReasonExhausted
 	d.Want, d.Least = short, least
 	return d
@@ -47,6 +51,21 @@
 	return asked
 }
 
+// Returned takes into holders that r brought back n tokens. A holder that
+// returned less than it was asked for has no more.
+func (r Recall) Returned(holders []ledger.Holding, n tokens.Count) {
+	for i := range holders {
+		h := &holders[i]
+		switch {
+		case h.Holder != r.Holding.Holder:
+		case n < r.Want:
+			h.Granted = h.Reserved
+		default:
+			h.Granted -= n
+		}
+	}
+}
+
 func total(asked []Recall) (n tokens.Count) {
 	for _, r := range asked {
 		n += r.Want
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -18,7 +18,6 @@
 package share
 
 import (
-	"math"
 	"time"
 
 	"example.org/lagoonfork/internal/ledger"
@@ -32,9 +31,12 @@
 	// Needed is the sum of the reservations that wait for tokens, Least the
 	// one to be served next.
 	Needed, Least tokens.Count
-	// Rate and Peak are the present and the highest recent drawing rate in
-	// tokens per second.
-	Rate, Peak float64
+	// Rate and Mean are the present and the mean drawing rate in tokens per
+	// second.
+	Rate, Mean float64
+	// FleetRate is the rate at which all holders together spend the budget, 0
+	// if it is not known.
+	FleetRate float64
 	// Request is the usual size of a reservation.
 	Request tokens.Count
 	// Used is the time of the last reservation, or of the last notice that
@@ -44,6 +46,8 @@
 	Pool tokens.Count
 	// Live is the number of routers that may hold a share, at least 1.
 	Live int
+	// Round counts the recalls made for the reservation to be served next.
+	Round int
 	// Exhausted reports that the last draw was refused for lack of tokens;
 	// Holders are the other shares that the ledger then listed.
 	Exhausted bool
@@ -113,7 +117,7 @@
 		return planIdle(s, d)
 	case s.Free > excessFactor*d.Target:
 		return planExcess(s, d)
-	case s.Free < d.Target/refillDivisor || s.Free < s.floor(p) && s.Free < d.Target:
+	case s.Free < tokens.Count(float64(d.Target)*p.RefillLevel), s.Free < min(d.Target, s.floor(p)):
 		return planRefill(s, p, d)
 	}
 	return d
@@ -163,24 +167,21 @@
 	return d
 }
 
-const (
-	// refillDivisor sets the level at which a share is refilled: its target
-	// divided by this.
-	refillDivisor = 2
-	// excessFactor sets the level above which a share is trimmed: its target
-	// times this. The gap to the refill level keeps a share from being
-	// returned and drawn in turn.
-	excessFactor = 2
-)
+// excessFactor sets the level above which a share is trimmed: its target times
+// this. The gap to the refill level keeps a share from being returned and drawn
+// in turn.
+const excessFactor = 2
+
+// largest is the greatest size of a share, so that sums of sizes hold.
+const largest = 1 << 50
 
 // target returns the unreserved number of tokens that the share should hold.
 func target(now time.Time, s State, p Policy) tokens.Count {
 	if s.idle(now, p) {
 		return 0
 	}
-	rate := s.Rate + p.Lean*max(s.Peak-s.Rate, 0)
-	sized := tokens.Count(math.Min(rate*p.Horizon.Seconds(), math.MaxInt64/4))
-	return min(max(sized, s.floor(p)), s.limit(p))
+	sized := max(s.Rate*p.Horizon.Seconds(), s.Mean*p.Reach.Seconds())
+	return min(max(tokens.Count(min(sized, largest)), s.floor(p)), s.limit(p))
 }
 
 // floor is the least reserve of a budget in use.
@@ -189,10 +190,21 @@
 }
 
 // limit bounds a share by a fraction of what the budget has left, so that
-// shares shrink as the budget runs down.
+// shares shrink as the budget runs down. The holder's part of that is its part
+// of the fleet's rate, and at least that of one among equals.
+//
+// The holder knows what is in the pool and in its own share, not what others
+// hold. If all shares together are the fraction f of the total T and its own is
+// the part p of them, pool and own share are (1-f+f*p)*T, of which its own is
+// f*p*T.
 func (s State) limit(p Policy) tokens.Count {
 	left := max(s.Pool, 0) + max(s.Free, 0)
-	return tokens.Count(float64(left) * p.FreeFraction / float64(max(s.Live, 1)))
+	part := 1 / float64(max(s.Live, 1))
+	if s.FleetRate > 0 {
+		part = min(max(part, s.Mean/s.FleetRate), 1)
+	}
+	own := p.FreeFraction * part
+	return tokens.Count(float64(left) * own / (1 - p.FreeFraction + own))
 }
 
 func (s State) idle(now time.Time, p Policy) bool {
--- a/internal/wallet/account.go
+++ b/internal/wallet/account.go
@@ -15,6 +15,7 @@
 	budget  ident.Budget
 	funding ledger.Funding
 	meter   share.Meter
+	gauge   share.Gauge // of all holders
 
 	// granted is at most what the ledger has granted. reserved and withheld
 	// are parts of it: for requests, and on the way back to the budget.
@@ -174,6 +175,7 @@
 	s := share.State{
 		Free:      a.free(),
 		Reserved:  a.reserved,
+		FleetRate: a.gauge.Rate(),
 		Request:   a.meter.Request(),
 		Used:      a.used,
 		Pool:      a.pool,
@@ -181,12 +183,12 @@
 		Exhausted: a.exhausted,
 		Holders:   a.holders,
 	}
-	s.Rate, s.Peak = a.meter.Rates(now)
+	s.Rate, s.Mean = a.meter.Rates(now)
 	for _, q := range a.queue {
 		s.Needed += q.tokens
 	}
 	if len(a.queue) > 0 {
-		s.Least = a.queue[0].tokens
+		s.Least, s.Round = a.queue[0].tokens, a.queue[0].rounds
 	}
 	return s
 }
@@ -210,10 +212,11 @@
 
 // record takes in the result of the pending op. Grants to a share that was
 // invalidated meanwhile are not counted.
-func (a *account) record(result ledger.Result) {
+func (a *account) record(now time.Time, result ledger.Result) {
 	op, current := a.pending, a.sent == a.epoch
 	a.cancel()
 	a.pool = result.Free
+	a.gauge.Observe(now, result.Settled)
 	switch {
 	case op.Draw != nil:
 		if a.exhausted = result.Outcome == ledger.Exhausted; a.exhausted {
--- a/internal/wallet/fetch.go
+++ b/internal/wallet/fetch.go
@@ -6,6 +6,7 @@
 
 	"github.com/ansel1/merry/v2"
 	"github.com/cespare/xxhash/v2"
+	"golang.org/x/sync/errgroup"
 
 	"example.org/lagoonfork/internal/event"
 	"example.org/lagoonfork/internal/ledger"
@@ -19,7 +20,7 @@
 	firstPause   = 10 * time.Millisecond
 	longestPause = 200 * time.Millisecond
 	// maxRounds is how often other holders are asked for one reservation.
-	maxRounds = 3
+	maxRounds = 6
 )
 
 // startFetch starts the goroutine that draws for the queue, if there is none.
@@ -114,38 +115,31 @@
 func (w *Wallet) recall(a *account, d share.Decision) {
 	ctx, cancel := context.WithTimeout(w.ctx, w.policy().RefusalAllowance)
 	defer cancel()
-	var failure error
-	var sum tokens.Count
-	for _, r := range d.Recalls {
-		n, err := w.Peers.Recall(ctx, r.Holding.Holder, a.budget, r.Want)
-		event.ShareRecalled.Info(w.Log, "budget", a.budget, "holder", r.Holding.Holder, "want", r.Want, "returned", n)
-		if err != nil {
-			failure = err
-			continue
-		}
-		sum += n
+	var g errgroup.Group
+	returned := make([]tokens.Count, len(d.Recalls))
+	for i, r := range d.Recalls {
+		g.Go(func() (err error) {
+			returned[i], err = w.Peers.Recall(ctx, r.Holding.Holder, a.budget, r.Want)
+			event.ShareRecalled.Info(w.Log, "budget", a.budget, "holder", r.Holding.Holder,
+				"want", r.Want, "returned", returned[i], "error", err)
+			return err
+		})
 	}
+	failure := g.Wait()
+	var sum tokens.Count
 	w.do(a, func() {
 		a.failure = failure
+		for i, r := range d.Recalls {
+			sum += returned[i]
+			r.Returned(a.holders, returned[i])
+		}
 		a.pool += sum
-		a.forget(d.Recalls)
 	})
 	if sum == 0 {
 		w.sleep(w.recallPause())
 	}
 }
 
-// forget takes holders that were asked out of the list.
-func (a *account) forget(asked []share.Recall) {
-	for i := range a.holders {
-		for _, r := range asked {
-			if a.holders[i].Holder == r.Holding.Holder {
-				a.holders[i].Granted = a.holders[i].Reserved
-			}
-		}
-	}
-}
-
 // recallPause differs between routers, so that two which recall from each
 // other do not stay in step.
 func (w *Wallet) recallPause() time.Duration {
--- a/internal/wallet/ops.go
+++ b/internal/wallet/ops.go
@@ -144,7 +144,7 @@
 		a.failure = err
 		switch {
 		case err == nil:
-			a.record(result)
+			a.record(w.Clock(), result)
 		case !a.uncertain && noEffect(err):
 			a.cancel()
 		default:
--- a/internal/wallet/reservation.go
+++ b/internal/wallet/reservation.go
@@ -174,6 +174,24 @@
 	r.end(cost)
 }
 
+// Reduce frees all but cost before the ledger has billed it, once the cost is
+// known for certain. Settle follows.
+func (r *Reservation) Reduce(cost tokens.Count) {
+	now := r.wallet.Clock()
+	r.wallet.do(r.account, func() {
+		freed := r.tokens - cost
+		if r.ended.Load() || freed <= 0 {
+			return
+		}
+		r.tokens = cost
+		if r.epoch == r.account.epoch {
+			r.account.reserved -= freed
+		}
+		r.account.meter.Add(now, -freed)
+		r.account.grant()
+	})
+}
+
 // Release ends the reservation without a bill and frees its tokens.
 func (r *Reservation) Release() {
 	r.end(0)
@@ -217,6 +235,7 @@
 }
 
 // Tokens returns the number of tokens set aside.
-func (r *Reservation) Tokens() tokens.Count {
-	return r.tokens
+func (r *Reservation) Tokens() (n tokens.Count) {
+	r.wallet.do(r.account, func() { n = r.tokens })
+	return n
 }
