--- a/internal/configwatch/configwatch.go
+++ b/internal/configwatch/configwatch.go
@@ -8,9 +8,10 @@
 // Few VMs, the relays, wait at the key-value service for changes; Relays tells
 // which. All VMs, the relays too, wait at one relay after another. So a change
 // takes one hop to the relays and a second one to all others, a connection
-// that has gone silent delays it by one waiting period, and the number of
-// waiting watches does not follow the number of VMs. A VM that reaches no
-// relay watches the service itself.
+// that has gone silent delays it by one waiting period, and the waiting watches
+// grow with the square root of the number of VMs. A relay takes a revision from
+// another one only if its own watch does not bring it within a second. A VM
+// that reaches no relay watches the service itself.
 //
 // A VM that starts takes the highest revision of the service and of several
 // VMs, so that it can start while the service is out of reach.
@@ -87,6 +88,8 @@
 	current  atomic.Pointer[snapshot]
 	// isolated reports that no peer was reached in the last round.
 	isolated atomic.Bool
+	// watching reports that a watch of the service is open.
+	watching atomic.Bool
 
 	randomMu sync.Mutex // guards settings.Random
 
--- a/internal/configwatch/follow.go
+++ b/internal/configwatch/follow.go
@@ -31,6 +31,9 @@
 	// firstRetry and lastRetry bound the wait between attempts.
 	firstRetry = 100 * time.Millisecond
 	lastRetry  = 5 * time.Second
+	// relayGrace is how long a relay that learned of a revision from another
+	// one waits for its own watch to bring it.
+	relayGrace = time.Second
 	// startPeers is the number of peers that a starting VM asks.
 	startPeers = 3
 )
@@ -50,7 +53,7 @@
 
 // run finds a first configuration and then follows the service and the peers.
 func (w *Watcher) run() error {
-	ctx := w.tomb.Context(nil)
+	ctx := w.tomb.Context(context.Background())
 	w.start(ctx)
 	if w.settings.Peers != nil {
 		w.tomb.Go(func() error { w.followPeers(ctx); return nil })
@@ -193,6 +196,8 @@
 		return err
 	}
 	defer func() { err = errors.Join(err, watch.Close()) }()
+	w.watching.Store(true)
+	defer w.watching.Store(false)
 	return w.followWatch(ctx, watch)
 }
 
@@ -298,6 +303,9 @@
 		if head.Revision <= above {
 			return nil
 		}
+		if w.watching.Load() {
+			_ = wait(ctx, relayGrace)
+		}
 		if err := w.install(ctx, head, []ident.VM{peer, storeSource}); err != nil {
 			return err
 		}
--- a/internal/document/node.go
+++ b/internal/document/node.go
@@ -11,7 +11,10 @@
 // maxDepth is the greatest depth of nested objects and arrays.
 const maxDepth = 32
 
-var errDepth = fmt.Errorf("is nested more than %d levels deep", maxDepth)
+var (
+	errDepth    = fmt.Errorf("is nested more than %d levels deep", maxDepth)
+	errTrailing = errors.New("something follows the document")
+)
 
 // kind is the kind of a JSON value.
 type kind string
@@ -44,7 +47,7 @@
 	defer func() {
 		switch {
 		case err == nil:
-		case errors.Is(err, errDepth):
+		case errors.Is(err, errDepth), errors.Is(err, errTrailing):
 		default:
 			err = fmt.Errorf("is not JSON: %w at byte %d", err, d.InputOffset())
 		}
@@ -54,7 +57,7 @@
 		return node{}, err
 	}
 	if _, err := d.Token(); !errors.Is(err, io.EOF) {
-		return node{}, errors.New("something follows the document")
+		return node{}, errTrailing
 	}
 	return n, nil
 }
--- a/internal/manifest/layout.go
+++ b/internal/manifest/layout.go
@@ -21,7 +21,7 @@
 	// maxBuckets keeps a manifest below 100 kB.
 	maxBuckets = 2048
 	// groupSize is the number of rows of one customer that stay together.
-	groupSize = 128
+	groupSize = 32
 	// tolerance is the factor by which the number of buckets may differ from
 	// the best one before all parts are written again.
 	tolerance = 2
--- a/internal/publication/part.go
+++ b/internal/publication/part.go
@@ -76,7 +76,7 @@
 // window returns the digests of the parts of the revisions that are kept.
 func (p *Publisher) window(ctx context.Context, head manifest.Manifest) (map[manifest.Digest]bool, error) {
 	kept := make(map[manifest.Digest]bool)
-	for range p.keep {
+	for i := range p.keep {
 		named, err := p.named(ctx, head)
 		if err != nil {
 			return nil, err
@@ -84,7 +84,7 @@
 		for digest := range named {
 			kept[digest] = true
 		}
-		if head.Previous == "" {
+		if head.Previous == "" || i == p.keep-1 {
 			break
 		}
 		previous, err := p.previous(ctx, head)
--- a/internal/publication/publication.go
+++ b/internal/publication/publication.go
@@ -153,7 +153,7 @@
 	}
 	revision, ok, err := p.lookUp(ctx, head, c.ID, c.Answers.Revision)
 	switch {
-	case err != nil:
+	case err != nil && !errors.Is(err, ErrNothing):
 		return Receipt{}, err
 	case ok:
 		return Receipt{Revision: revision}, nil
--- a/internal/publication/query.go
+++ b/internal/publication/query.go
@@ -53,7 +53,11 @@
 	if head.Revision != r || r == 0 {
 		return State{}, ErrNothing
 	}
-	return p.load(ctx, head)
+	s, err = p.load(ctx, head)
+	if errors.Is(err, manifest.ErrMissing) {
+		return State{}, ErrNothing
+	}
+	return s, err
 }
 
 // head returns the manifest in force. Its Revision is 0 if there is none.
@@ -79,7 +83,8 @@
 }
 
 // lookUp finds the revision that a change was put in force with, among those
-// after the revision that the change was made from.
+// after the revision that the change was made from. It returns ErrNothing if
+// some of these revisions are not held any more and none of the others has it.
 func (p *Publisher) lookUp(
 	ctx context.Context, head manifest.Manifest, id string, base configuration.Revision,
 ) (r configuration.Revision, ok bool, err error) {
@@ -88,13 +93,9 @@
 			return head.Revision, true, nil
 		}
 		if head.Previous == "" {
-			break
-		}
-		head, err = p.previous(ctx, head)
-		if errors.Is(err, ErrNothing) {
-			break
+			return 0, false, nil
 		}
-		if err != nil {
+		if head, err = p.previous(ctx, head); err != nil {
 			return 0, false, err
 		}
 	}
