--- a/internal/dispatch/claim.go
+++ b/internal/dispatch/claim.go
@@ -157,7 +157,7 @@
 	for {
 		select {
 		case r := <-results:
-			return x.billed(r, out)
+			return x.billed(ctx, r, bill, out)
 		case <-timer.C:
 			if x.held(ctx, bill) {
 				return out.end
@@ -194,16 +194,28 @@
 }
 
 // billed returns the end of an answer whose bill the ledger has decided on.
-func (x *run) billed(r ledger.Result, out outcome) End {
-	x.record("settle", fmt.Sprintf("%s, %d tokens", r.Outcome, out.cost))
-	switch {
-	case r.Outcome == ledger.Applied:
-		return out.end
-	case r.Outcome == ledger.Existing && r.Claim.State == ledger.StateSettled:
-		// The same request ran elsewhere and is billed there. This answer is
-		// whole too, and its caller is not billed again.
-		out.end.Cost = 0
-		return out.end
+func (x *run) billed(ctx context.Context, r ledger.Result, bill ledger.Claim, out outcome) End {
+	for range maxResolutions {
+		x.record("settle", fmt.Sprintf("%s, %d tokens", r.Outcome, out.cost))
+		if r.Outcome == ledger.Applied {
+			return out.end
+		}
+		if r.Outcome != ledger.Existing {
+			break
+		}
+		if r.Claim.State == ledger.StateSettled {
+			// The same request ran elsewhere and is billed there. This answer
+			// is whole too, and its caller is not billed again.
+			out.end.Cost = 0
+			return out.end
+		}
+		if end, ok := x.fetch(ctx, *r.Claim); ok {
+			return end
+		}
+		if r.Claim.State != ledger.StateOpen || pause(ctx, retrySoon) != nil {
+			break
+		}
+		r = <-x.push(bill)
 	}
 	event.BillRejected.Warn(x.d.Log, "request", x.r.ID, "outcome", r.Outcome)
 	return refused(refusal.Ran(refusal.Superseded,
--- a/internal/dispatch/existing.go
+++ b/internal/dispatch/existing.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 
 	"example.org/lagoonfork/internal/event"
 	"example.org/lagoonfork/internal/ledger"
@@ -57,12 +58,8 @@
 	if held.End.Refusal != nil {
 		return End{}, false
 	}
-	pieces, _, err := x.given()
-	if err != nil || len(pieces) > 0 {
-		return End{}, false // nothing is given out before the claim is known
-	}
-	for _, piece := range held.Pieces {
-		x.answer.Append(piece)
+	if !x.extend(held.Pieces) {
+		return End{}, false
 	}
 	x.record("answer", "copied from "+string(c.Holder))
 	held.End.Cost = 0
@@ -92,3 +89,16 @@
 	x.tried = nil
 	return nil, true
 }
+
+// extend appends what the answer lacks of the given pieces. It reports whether
+// the answer is their beginning.
+func (x *run) extend(pieces []string) bool {
+	given, _, err := x.given()
+	if err != nil || len(given) > len(pieces) || !slices.Equal(given, pieces[:len(given)]) {
+		return false
+	}
+	for _, piece := range pieces[len(given):] {
+		x.answer.Append(piece)
+	}
+	return true
+}
--- a/internal/routing/choice.go
+++ b/internal/routing/choice.go
@@ -13,6 +13,8 @@
 	table *Table
 	now   time.Time
 	query *Query
+	// paused admits upstreams that are paused after a failure.
+	paused bool
 
 	member     *member
 	wait       time.Duration
@@ -52,9 +54,9 @@
 	}
 }
 
-func (c *choice) considerAll() {
+func (c *choice) considerAll(reason Reason) {
 	for _, m := range c.table.all {
-		c.consider(m, 0, ReasonFullScan)
+		c.consider(m, 0, reason)
 	}
 }
 
@@ -72,7 +74,10 @@
 }
 
 func (c *choice) eligible(m *member) bool {
-	if !m.available(c.now) || !m.serves(c.query.Model) {
+	if m.leaving != 0 || !m.serves(c.query.Model) {
+		return false
+	}
+	if !c.paused && c.now.Before(m.pausedTo) {
 		return false
 	}
 	if c.query.Isolate && m.isolated > 0 {
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -94,6 +94,9 @@
 	ReasonPrefix    Reason = "prefixCached"
 	ReasonIsolated  Reason = "isolated"
 	ReasonFullScan  Reason = "fullScan"
+	// ReasonAllPaused tells that all upstreams have failed lately, so that the
+	// pauses after failures are disregarded.
+	ReasonAllPaused Reason = "allPaused"
 )
 
 // Sizes of the candidate samples.
@@ -122,7 +125,11 @@
 	best.considerSample(t.near, sampledNear, rng)
 	best.considerSample(t.all, sampledAnywhere, rng)
 	if best.member == nil {
-		best.considerAll()
+		best.considerAll(ReasonFullScan)
+	}
+	if best.member == nil {
+		best.paused = true
+		best.considerAll(ReasonAllPaused)
 	}
 	if best.member == nil {
 		return Decision{}, ErrNoUpstream
