--- /dev/null
+++ b/internal/membership/view_test.go
@@ -0,0 +1,323 @@
+package membership
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"example.org/lagoonfork/internal/vmlist"
+	"example.org/lagoonfork/pkg/ident"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+const domains = 3
+
+// record returns the record of VM n, in one of three failure domains.
+func record(n int) Record {
+	return Record{
+		VM:            ident.VM(fmt.Sprintf("vm-%03d", n)),
+		Incarnation:   ident.Incarnation(fmt.Sprintf("run-%03d", n)),
+		Address:       netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(n >> 8), byte(n)}), 7000),
+		FailureDomain: ident.FailureDomain(fmt.Sprintf("domain-%d", n%domains)),
+		Region:        "sk-central",
+	}
+}
+
+func records(n int) []Record {
+	all := make([]Record, n)
+	for i := range all {
+		all[i] = record(i)
+	}
+	return all
+}
+
+func listedAs(r Record, state vmlist.State) vmlist.VM {
+	return vmlist.VM{ID: r.VM, Address: r.Address, FailureDomain: r.FailureDomain, Region: r.Region, State: state}
+}
+
+// fleet returns the view of VM 0 of n registered VMs.
+func fleet(n int) *View {
+	v := NewView(Settings{Self: record(0)})
+	v.Observe(start, start, records(n))
+	return v
+}
+
+func stateOf(v *View, now time.Time, vm ident.VM) State {
+	for _, m := range v.Members(now) {
+		if m.VM == vm {
+			return m.State
+		}
+	}
+	return ""
+}
+
+// TestStates gives the decision on one peer for each combination of sources.
+func TestStates(t *testing.T) {
+	const failed, never, stale, answered = "failed", "never", "stale", "answered"
+	for _, tt := range []struct {
+		name       string
+		registered bool
+		listed     vmlist.State
+		probe      string
+		want       State
+	}{
+		{"healthy", true, vmlist.StateLive, answered, StateLive},
+		{"new, list lags", true, "", never, StateLive},
+		{"probe answer is old", true, vmlist.StateLive, stale, StateLive},
+		{"paused or parted from here", true, vmlist.StateLive, failed, StateSuspect},
+		{"parted, list lags", true, "", failed, StateSuspect},
+		{"leaving", true, vmlist.StateLeaving, answered, StateLeaving},
+		{"leaving and silent", true, vmlist.StateLeaving, failed, StateLeaving},
+		{"cut off from the store", false, vmlist.StateLive, answered, StateSuspect},
+		{"cut off from the store, list lags", false, "", answered, StateSuspect},
+		{"leaving, deregistered", false, vmlist.StateLeaving, answered, StateLeaving},
+		{"starting in an outage", false, vmlist.StateLive, never, StateSuspect},
+		{"dead, list lags", false, vmlist.StateLive, failed, StateGone},
+		{"dead and leaving", false, vmlist.StateLeaving, failed, StateGone},
+		{"dead, not answered for long", false, "", stale, ""},
+		{"dead and off the list", false, "", failed, ""},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			v := fleet(2)
+			now, peer := start.Add(time.Minute), record(1)
+			probes := map[string]func(){
+				failed: func() {
+					for range defaultProbeFailures {
+						v.Probe(now, peer.VM, false)
+					}
+				},
+				never:    func() {},
+				stale:    func() { v.Probe(start, peer.VM, true) },
+				answered: func() { v.Probe(now, peer.VM, true) },
+			}
+			probes[tt.probe]()
+			if tt.listed != "" {
+				v.List(now, []vmlist.VM{listedAs(peer, tt.listed)})
+			}
+			if !tt.registered {
+				v.Observe(now, now, []Record{record(0)})
+			}
+			assert.Equal(t, tt.want, stateOf(v, now, peer.VM))
+		})
+	}
+}
+
+func TestTransitionsAreReportedOnce(t *testing.T) {
+	v := fleet(3)
+	vm := record(1).VM
+	for range defaultProbeFailures - 1 {
+		require.Empty(t, v.Probe(start, vm, false))
+	}
+	got := v.Probe(start, vm, false)
+	require.Len(t, got, 1)
+	assert.Equal(t, StateLive, got[0].From)
+	assert.Equal(t, StateSuspect, got[0].Member.State)
+	assert.Equal(t, ReasonSilent, got[0].Member.Reason)
+	require.Empty(t, v.Probe(start, vm, false))
+	require.Len(t, v.Probe(start, vm, true), 1)
+	require.Empty(t, v.Observe(start, start, records(3)))
+	restarted := record(1)
+	restarted.Incarnation = "run-next"
+	require.Empty(t, v.Apply(start, []Change{{Record: restarted}}))
+	assert.True(t, v.Pending(time.Minute), "the absence of the former incarnation is counted")
+	require.Len(t, v.Apply(start, []Change{{Record: Record{VM: vm}, Removed: true}}), 1)
+}
+
+func TestPeersInOrder(t *testing.T) {
+	v := fleet(9)
+	now := start
+	for range defaultProbeFailures {
+		v.Probe(now, record(3).VM, false)
+	}
+	v.List(now, []vmlist.VM{listedAs(record(6), vmlist.StateLeaving)})
+	peers := v.Peers(now)
+	require.Len(t, peers, 8)
+	for _, p := range peers[:6] {
+		assert.Equal(t, StateLive, p.State)
+	}
+	assert.Equal(t, record(3).VM, peers[6].VM)
+	assert.Equal(t, record(6).VM, peers[7].VM)
+	v.Probe(now, record(3).VM, true)
+	assert.Equal(t, record(3).VM, v.Peers(now)[0].VM, "the own failure domain comes first")
+}
+
+func TestWitnessesInOtherDomains(t *testing.T) {
+	v := fleet(9)
+	own := record(0).FailureDomain
+	for n, want := range []int{0, 1, 2, 2} {
+		domains := map[ident.FailureDomain]bool{own: true}
+		for _, w := range v.Witnesses(n, own) {
+			assert.False(t, domains[w.FailureDomain])
+			domains[w.FailureDomain] = true
+		}
+		assert.Len(t, domains, want+1)
+	}
+	for i := 1; i < 9; i += domains {
+		v.List(start, []vmlist.VM{listedAs(record(i), vmlist.StateLeaving)})
+		for range defaultProbeFailures {
+			v.Probe(start, record(i).VM, false)
+		}
+	}
+	assert.Len(t, v.Witnesses(2, own), 1, "one failure domain is out")
+}
+
+func TestOwnerMovesOnlyPagesOfTheLost(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 40).Draw(t, "VMs")
+		lost := record(rapid.IntRange(0, n-1).Draw(t, "lost"))
+		v := fleet(n)
+		other := NewView(Settings{Self: record(n - 1)})
+		other.Observe(start, start, records(n))
+		const pages = 200
+		before := make([]ident.VM, pages)
+		for page := range pages {
+			owner, ok := v.Owner(page)
+			theirs, _ := other.Owner(page)
+			if !ok || owner.VM != theirs.VM {
+				t.Fatalf("views differ on page %d: %s, %s", page, owner.VM, theirs.VM)
+			}
+			before[page] = owner.VM
+		}
+		rest := slices.DeleteFunc(records(n), func(r Record) bool { return r.VM == lost.VM })
+		v.Observe(start, start, rest)
+		for page := range pages {
+			owner, _ := v.Owner(page)
+			if owner.VM == lost.VM || (before[page] != lost.VM && owner.VM != before[page]) {
+				t.Fatalf("page %d moved from %s to %s without %s", page, before[page], owner.VM, lost.VM)
+			}
+		}
+	})
+}
+
+func TestOwnerSpreadsPages(t *testing.T) {
+	v := fleet(9)
+	owned := make(map[ident.VM]int)
+	const pages = 900
+	for page := range pages {
+		owner, _ := v.Owner(page)
+		owned[owner.VM]++
+	}
+	for vm, n := range owned {
+		assert.InDelta(t, pages/9, n, 45, vm)
+	}
+	assert.Len(t, owned, 9)
+	_, ok := NewView(Settings{Self: record(0)}).Owner(1)
+	assert.False(t, ok, "nobody is registered")
+}
+
+// TestGone gives listings at seconds after the start, and what they prove of a
+// holder that is seen up to second 0.
+func TestGone(t *testing.T) {
+	const lifetime = 10 * time.Second
+	type listing struct {
+		asked, answered int
+		present         bool
+	}
+	absent := func(seconds ...int) (all []listing) {
+		for _, s := range seconds {
+			all = append(all, listing{s, s, false})
+		}
+		return all
+	}
+	for name, tt := range map[string]struct {
+		listings []listing
+		gone     bool
+	}{
+		"unbroken":                  {absent(1, 4, 8, 11), true},
+		"one second short":          {absent(1, 4, 8, 10), false},
+		"outage in between":         {absent(1, 4, 12, 14), false},
+		"outage, then the lifetime": {absent(1, 4, 12, 16, 20, 22), true},
+		"proof outlasts an outage":  {absent(1, 4, 8, 11, 60), true},
+		"slow answers count short":  {[]listing{{1, 3, false}, {5, 8, false}, {9, 10, false}, {12, 13, false}}, false},
+		"slow answers, long enough": {[]listing{{1, 3, false}, {5, 6, false}, {9, 10, false}, {13, 14, false}}, true},
+		"answer too slow":           {[]listing{{1, 1, false}, {5, 7, false}, {9, 10, false}, {12, 12, false}}, false},
+		"seen in between":           {append(absent(1, 4), append([]listing{{6, 6, true}}, absent(8, 11, 14)...)...), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			v := fleet(2)
+			for _, l := range tt.listings {
+				all := records(1)
+				if l.present {
+					all = records(2)
+				}
+				v.Observe(at(l.asked), at(l.answered), all)
+			}
+			assert.Equal(t, tt.gone, slices.Contains(v.Gone(lifetime), record(1).Incarnation))
+			assert.Equal(t, !tt.gone, v.Pending(lifetime))
+		})
+	}
+}
+
+func at(second int) time.Time {
+	return start.Add(time.Duration(second) * time.Second)
+}
+
+// TestTrack counts the absence of a holder known from the ledger alone.
+func TestTrack(t *testing.T) {
+	v := fleet(2)
+	v.Track(start, "run-of-old", record(1).Incarnation)
+	for s := 1; s <= 13; s += 4 {
+		v.Observe(at(s), at(s), records(2))
+	}
+	assert.Equal(t, []ident.Incarnation{"run-of-old"}, v.Gone(10*time.Second))
+	v.Forget("run-of-old")
+	assert.Empty(t, v.Gone(0))
+	v.Track(start, "run-of-old")
+	v.Observe(start.Add(25*time.Hour), start.Add(25*time.Hour), records(2))
+	assert.False(t, v.Pending(time.Hour), "old absences are dropped")
+}
+
+func FuzzDecodeRecord(f *testing.F) {
+	value, err := record(1).Encode()
+	require.NoError(f, err)
+	f.Add(string(Key(record(1).VM)), value)
+	f.Fuzz(func(t *testing.T, key string, value []byte) {
+		r, err := Decode(key, value)
+		if err != nil {
+			return
+		}
+		vm, ok := VMOf(key)
+		assert.True(t, ok)
+		assert.Equal(t, r.VM, vm)
+	})
+}
+
+func BenchmarkView(b *testing.B) {
+	for _, n := range []int{9, 90, 390} {
+		v := fleet(n)
+		all := records(n)
+		b.Run(fmt.Sprintf("owner/%d", n), func(b *testing.B) {
+			b.ReportAllocs()
+			page := 0
+			for b.Loop() {
+				page++
+				v.Owner(page)
+			}
+		})
+		b.Run(fmt.Sprintf("peers/%d", n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				v.Peers(start)
+			}
+		})
+		b.Run(fmt.Sprintf("witnesses/%d", n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				v.Witnesses(2, "domain-0")
+			}
+		})
+		b.Run(fmt.Sprintf("observe/%d", n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				v.Observe(start, start, all)
+			}
+		})
+	}
+}
