Put engines and plain services under contract suites

Cause: the fakes, and later the users' own upstreams, have to keep the same protocol, and every decoder reads what others wrote. Change: suites that run against an address, with fault cases in tables; a fuzz target for each decoder; figures on the wire are bounded, since two token counts could overflow to a sum that added up. Conclusion: the overflow case failed before the bound and passes with it; each fuzz target ran for 8 to 15 s without a finding.

--- a/internal/engineclient/stream.go
+++ b/internal/engineclient/stream.go
@@ -50,7 +50,7 @@
 	resumptions silence.Resumptions
 	reader      *eventstream.Reader
 	chunk       engine.Chunk
-	received    int // tokens
+	received    int           // tokens
 	finish      string        // as the current connection gave it
 	usage       *engine.Usage // as the current connection gave it
 	end         error         // of Next, once it has ended
--- /dev/null
+++ b/internal/silence/silence_test.go
@@ -0,0 +1,71 @@
+package silence
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"pgregory.net/rapid"
+)
+
+const limit = 10 * time.Second
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func TestObserve(t *testing.T) {
+	type step struct {
+		after    time.Duration // since the start
+		activity Activity
+		silent   bool
+	}
+	tests := []struct {
+		name  string
+		steps []step
+	}{
+		{"waits past the limit", []step{{0, 1, false}, {limit - 1, 1, false}, {limit, 1, true}}},
+		{"moves each time", []step{{0, 1, false}, {limit, 3, false}, {2 * limit, 5, false}}},
+		{"moves and then waits", []step{{0, 1, false}, {limit - 1, 3, false}, {2*limit - 2, 3, false}, {2*limit - 1, 3, true}}},
+		{"reader is busy", []step{{0, 2, false}, {limit, 2, false}, {5 * limit, 2, false}}},
+		{"observer was paused", []step{{0, 2, false}, {9 * limit, 3, false}, {9*limit + 1, 3, false}}},
+		{"new stream never waits", []step{{0, 0, false}, {9 * limit, 0, false}}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var w Watch
+			for _, s := range test.steps {
+				assert.Equal(t, s.silent, w.Observe(s.activity, limit, start.Add(s.after)), "at %s", s.after)
+			}
+		})
+	}
+}
+
+// TestResumptionsAreBounded checks that a stream is resumed at most limit times
+// in succession without a new token, at once after a new token, and never
+// further ahead than the longest delay.
+func TestResumptionsAreBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		most := rapid.IntRange(0, 5).Draw(t, "limit")
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+		var r Resumptions
+		received, fruitless := 0, 0
+		for _, gain := range rapid.SliceOf(rapid.IntRange(0, 2)).Draw(t, "gains") {
+			received += gain
+			if gain > 0 {
+				fruitless = 0
+			}
+			d := r.Broken(received, most, random, start)
+			if d.Resume != (fruitless < most) {
+				t.Fatalf("resume = %t after %d fruitless of %d", d.Resume, fruitless, most)
+			}
+			if !d.Resume {
+				return
+			}
+			fruitless++
+			wait := d.At.Sub(start)
+			if fruitless == 1 && wait != 0 || wait < 0 || wait > 3*maxDelay/2 {
+				t.Fatalf("resumption %d waits %s", fruitless, wait)
+			}
+		}
+	})
+}
--- a/pkg/engine/decode.go
+++ b/pkg/engine/decode.go
@@ -8,6 +8,10 @@
 	"github.com/ansel1/merry/v2"
 )
 
+// maxFigure bounds every number of tokens or requests on the wire, so that sums
+// of them do not overflow.
+const maxFigure = 1 << 40
+
 // ErrMalformed reports a body that breaks the protocol.
 var ErrMalformed = errors.New("malformed body")
 
@@ -26,7 +30,7 @@
 		return malformed(err)
 	}
 	if u := c.Usage; u != nil && !u.valid() {
-		return malformed(errors.New("usage is negative or does not add up"))
+		return malformed(errors.New("usage is out of range or does not add up"))
 	}
 	return nil
 }
@@ -37,8 +41,8 @@
 	if err := decode(r, &l); err != nil {
 		return Load{}, err
 	}
-	if l.Slots < 0 || l.Running < 0 || l.Queued < 0 || l.QueuedTokens < 0 || l.RunningTokens < 0 {
-		return Load{}, malformed(errors.New("negative figure"))
+	if !inRange(l.Slots, l.Running, l.Queued) || !inRange(l.QueuedTokens, l.RunningTokens) {
+		return Load{}, malformed(errors.New("figure out of range"))
 	}
 	return l, nil
 }
@@ -56,8 +60,8 @@
 		if e.Sequence <= last {
 			return nil, malformed(errors.New("sequence numbers do not ascend"))
 		}
-		if e.Kind != CacheStored && e.Kind != CacheEvicted || e.Tokens < 0 {
-			return nil, malformed(errors.New("unknown kind or negative tokens"))
+		if e.Kind != CacheStored && e.Kind != CacheEvicted || !inRange(e.Tokens) {
+			return nil, malformed(errors.New("unknown kind or tokens out of range"))
 		}
 		last = e.Sequence
 	}
@@ -91,8 +95,8 @@
 	if err := decode(r, &e); err != nil {
 		return CacheEntry{}, err
 	}
-	if e.Key == "" || e.Tokens < 0 {
-		return CacheEntry{}, malformed(errors.New("no key or negative tokens"))
+	if e.Key == "" || !inRange(e.Tokens) {
+		return CacheEntry{}, malformed(errors.New("no key or tokens out of range"))
 	}
 	return e, nil
 }
@@ -113,8 +117,18 @@
 	return merry.Wrap(ErrMalformed, merry.WithCause(cause), merry.AppendMessage(cause.Error()))
 }
 
+// inRange reports whether no figure is negative or over maxFigure.
+func inRange[N ~int | ~int64](figures ...N) bool {
+	for _, n := range figures {
+		if n < 0 || n > maxFigure {
+			return false
+		}
+	}
+	return true
+}
+
 func (u *Usage) valid() bool {
-	if u.PromptTokens < 0 || u.CompletionTokens < 0 {
+	if !inRange(u.PromptTokens, u.CompletionTokens) {
 		return false
 	}
 	if d := u.Details; d != nil && (d.CachedTokens < 0 || d.CachedTokens > u.PromptTokens) {
--- /dev/null
+++ b/pkg/engine/enginetest/enginetest.go
@@ -0,0 +1,244 @@
+// Package enginetest holds the contract that every model engine keeps.
+//
+// The suite talks to an engine at an address over plain HTTP, so that it runs
+// against any implementation. Fault cases run if the target can bring faults
+// about.
+//
+// # Usage
+//
+//	func TestEngine(t *testing.T) {
+//		enginetest.Run(t, enginetest.Target{Address: address, Model: "model"})
+//	}
+package enginetest
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"example.org/lagoonfork/pkg/engine"
+	"example.org/lagoonfork/pkg/eventstream"
+	"example.org/lagoonfork/pkg/ident"
+)
+
+// callTimeout bounds each call of the suite.
+const callTimeout = 30 * time.Second
+
+// Fault is a state into which a target can bring its engine.
+type Fault string
+
+// Faults.
+const (
+	// FaultNotRun makes the engine refuse runs without running them.
+	FaultNotRun Fault = "not run"
+	// FaultSilence makes the open connections silent for good. New ones work.
+	FaultSilence Fault = "silence"
+	// FaultCrash makes the engine die and come back.
+	FaultCrash Fault = "crash"
+)
+
+// Target is an engine under test.
+type Target struct {
+	Address netip.AddrPort
+	Model   ident.Model
+	// ChecksFencing tells whether the engine refuses old fencing numbers.
+	ChecksFencing bool
+	// Prompt returns a prompt whose answer has n tokens or more. It may be nil.
+	Prompt func(n int) string
+	// Inject brings a fault about and returns a function that ends it. It may
+	// be nil.
+	Inject func(t *testing.T, f Fault) (end func())
+}
+
+// Run runs the suite.
+func Run(t *testing.T, target Target) {
+	s := &suite{Target: target, client: &http.Client{Timeout: callTimeout, Transport: &http.Transport{DisableKeepAlives: true}}}
+	if s.Prompt == nil {
+		s.Prompt = func(n int) string { return fmt.Sprintf("Count from 1 to %d in words.", n) }
+	}
+	t.Run("answers", s.answers)
+	t.Run("resumption", s.resumption)
+	t.Run("cancellation", s.cancellation)
+	t.Run("refusals", s.refusals)
+	t.Run("reports", s.reports)
+	t.Run("cache", s.cache)
+	t.Run("orders", s.orders)
+	if target.Inject != nil {
+		t.Run("faults", s.faults)
+	}
+}
+
+type suite struct {
+	Target
+	client  *http.Client
+	counter atomic.Int64
+}
+
+// dispatch is one run of the suite.
+type dispatch struct {
+	request, attempt string
+	prompt           string
+	maxTokens        int
+	stream           bool
+	cacheKey         string
+}
+
+func (s *suite) dispatch(prompt string, maxTokens int) dispatch {
+	n := s.counter.Add(1)
+	return dispatch{
+		request:   fmt.Sprintf("request/%d", n), // a name that has to be escaped in a path
+		attempt:   fmt.Sprintf("attempt-%d", n),
+		prompt:    prompt,
+		maxTokens: maxTokens,
+		stream:    true,
+	}
+}
+
+func (d dispatch) header() http.Header {
+	h := http.Header{}
+	h.Set(engine.HeaderRequest, d.request)
+	h.Set(engine.HeaderAttempt, d.attempt)
+	h.Set(engine.HeaderPriority, "1")
+	if d.cacheKey != "" {
+		h.Set(engine.HeaderCacheKey, d.cacheKey)
+	}
+	return h
+}
+
+func (s *suite) body(d dispatch) []byte {
+	type options struct {
+		IncludeUsage bool `json:"include_usage"`
+	}
+	body := struct {
+		Model     ident.Model      `json:"model"`
+		Messages  []engine.Message `json:"messages"`
+		MaxTokens int              `json:"max_tokens"`
+		Stream    bool             `json:"stream"`
+		Options   *options         `json:"stream_options,omitempty"`
+	}{s.Model, []engine.Message{{Role: "user", Content: d.prompt}}, d.maxTokens, d.stream, nil}
+	if d.stream {
+		body.Options = &options{IncludeUsage: true}
+	}
+	data, err := json.Marshal(body)
+	if err != nil {
+		panic(err) // a struct of strings and numbers
+	}
+	return data
+}
+
+func (s *suite) call(t *testing.T, method, path string, header http.Header, body []byte) *http.Response {
+	t.Helper()
+	response, err := s.tryCall(t, method, path, header, body)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = response.Body.Close() })
+	return response
+}
+
+func (s *suite) tryCall(t *testing.T, method, path string, header http.Header, body []byte) (*http.Response, error) {
+	t.Helper()
+	request, err := http.NewRequestWithContext(t.Context(), method, "http://"+s.Address.String()+path, bytes.NewReader(body))
+	require.NoError(t, err)
+	for name, values := range header {
+		request.Header[name] = values
+	}
+	return s.client.Do(request)
+}
+
+func (s *suite) start(t *testing.T, d dispatch) *http.Response {
+	t.Helper()
+	response := s.call(t, http.MethodPost, engine.PathCompletions, d.header(), s.body(d))
+	requireEcho(t, response, d)
+	return response
+}
+
+func (s *suite) resume(t *testing.T, d dispatch, after int) *http.Response {
+	t.Helper()
+	h := d.header()
+	h.Set(engine.HeaderLastEventID, strconv.Itoa(after))
+	response := s.call(t, http.MethodGet, streamPath(d), h, nil)
+	requireEcho(t, response, d)
+	return response
+}
+
+func streamPath(d dispatch) string { return engine.PathStreams + url.PathEscape(d.request) }
+
+func requireEcho(t *testing.T, r *http.Response, d dispatch) {
+	t.Helper()
+	require.Equal(t, d.request, r.Header.Get(engine.HeaderRequest), "request in the response")
+	require.Equal(t, d.attempt, r.Header.Get(engine.HeaderAttempt), "attempt in the response")
+}
+
+// stream is what a reader got of a streamed answer.
+type stream struct {
+	tokens []string
+	finish string
+	usage  *engine.Usage
+	done   bool
+}
+
+func (s stream) text() string { return strings.Join(s.tokens, "") }
+
+// read reads a stream to its end, or up to the given number of tokens if that
+// is positive, and checks the events' order and attempt.
+func read(t *testing.T, response *http.Response, d dispatch, after, most int) (s stream) {
+	t.Helper()
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	r := eventstream.NewReader(response.Body)
+	for most <= 0 || len(s.tokens) < most {
+		e, err := r.Next()
+		if err == io.EOF {
+			return s
+		}
+		require.NoError(t, err)
+		require.False(t, s.done, "event after the last one")
+		if string(e.Data) == engine.Done {
+			s.done = true
+			continue
+		}
+		var c engine.Chunk
+		require.NoError(t, engine.DecodeChunk(e.Data, &c))
+		require.Equal(t, d.attempt, c.ID, "attempt in a chunk")
+		s.add(t, e, c, after)
+	}
+	return s
+}
+
+func (s *stream) add(t *testing.T, e eventstream.Event, c engine.Chunk, after int) {
+	t.Helper()
+	if c.Usage != nil {
+		s.usage = c.Usage
+	}
+	text := ""
+	for _, choice := range c.Choices {
+		text += choice.Delta.Content
+		if choice.FinishReason != nil {
+			s.finish = *choice.FinishReason
+		}
+	}
+	if e.ID == nil {
+		require.Empty(t, text, "text without a token number")
+		return
+	}
+	require.Equal(t, strconv.Itoa(after+len(s.tokens)+1), string(e.ID), "token number")
+	s.tokens = append(s.tokens, text)
+}
+
+func (s stream) requireWhole(t *testing.T, after int) {
+	t.Helper()
+	require.True(t, s.done, "last event")
+	require.Contains(t, []string{engine.FinishStop, engine.FinishLength}, s.finish)
+	require.NotNil(t, s.usage, "usage")
+	require.EqualValues(t, after+len(s.tokens), s.usage.CompletionTokens)
+	require.Equal(t, s.usage.PromptTokens+s.usage.CompletionTokens, s.usage.TotalTokens)
+}
