--- /dev/null
+++ b/internal/operator/answers.go
@@ -0,0 +1,262 @@
+package operator
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/ansel1/merry/v2"
+
+	"example.org/lagoonfork/internal/generator"
+	"example.org/lagoonfork/internal/publication"
+	"example.org/lagoonfork/pkg/answers"
+	"example.org/lagoonfork/pkg/configuration"
+	"example.org/lagoonfork/pkg/ident"
+)
+
+func (c *command) registerAnswers(parent *kingpin.CmdClause) {
+	var from, file, other, id string
+	var merge bool
+	var revision int64
+
+	fresh := c.add(parent, "new", "Ask for the answers in the terminal and print them.", false, func() error { return c.newAnswers(from) })
+	fresh.Flag("from", "File with answers to begin with.").PlaceHolder("FILE").StringVar(&from)
+
+	check := c.add(parent, "check", "Check answers and name each wrong field.", false, func() error { return c.checkAnswers(file) })
+	check.Arg("file", "File with the answers.").Required().StringVar(&file)
+
+	generate := c.add(parent, "generate", "Print the configuration made from answers.", false, func() error { return c.generate(file, revision) })
+	generate.Arg("file", "File with the answers.").Required().StringVar(&file)
+	generate.Flag("revision", "Revision of the configuration; by default that after the answers'.").Int64Var(&revision)
+
+	diff := c.add(parent, "diff", "Compare two answers, or answers with those in force.", false, func() error { return c.diff(file, other) })
+	diff.Arg("file", "File with the earlier answers, or the only one.").Required().StringVar(&file)
+	diff.Arg("other", "File with the later answers.").StringVar(&other)
+
+	apply := c.add(parent, "apply", "Put answers in force and wait until all VMs follow.", true, func() error { return c.apply(file, id, merge) })
+	apply.Arg("file", "File with the answers.").Required().StringVar(&file)
+	apply.Flag("id", "Identifier of the change, to find out about one whose outcome was unknown.").StringVar(&id)
+	apply.Flag("merge", "Merge with answers applied meanwhile if the changes do not touch.").BoolVar(&merge)
+
+	c.add(parent, "show", "Print the answers in force.", true, c.showAnswers)
+}
+
+func (c *command) newAnswers(from string) error {
+	start := answers.Blank()
+	if from != "" {
+		var err error
+		if start, err = readAnswers(from); err != nil {
+			return err
+		}
+	}
+	a, err := answers.Ask(c.Input, c.Errors, start)
+	var problems answers.Problems
+	if err != nil && !errors.As(err, &problems) {
+		return err
+	}
+	return errors.Join(c.printAnswers(a), err)
+}
+
+func (c *command) printAnswers(a answers.Answers) error {
+	data, err := answers.Encode(a)
+	if err != nil {
+		return err
+	}
+	_, err = c.Output.Write(data)
+	return err
+}
+
+func readAnswers(file string) (answers.Answers, error) {
+	data, err := readFile(file)
+	if err != nil {
+		return answers.Answers{}, err
+	}
+	return answers.Decode(data)
+}
+
+func (c *command) checkAnswers(file string) error {
+	a, err := readAnswers(file)
+	var problems answers.Problems
+	if err != nil && !errors.As(err, &problems) {
+		return err
+	}
+	if c.json {
+		return errors.Join(printJSON(c.Output, problems), err)
+	}
+	if err == nil {
+		_, err = fmt.Fprintf(c.Output, "%s is right: %d customers, %d services\n", file, len(a.Customers), len(a.Services))
+	}
+	return err
+}
+
+func (c *command) generate(file string, revision int64) error {
+	a, err := readAnswers(file)
+	if err != nil {
+		return err
+	}
+	if revision == 0 {
+		revision = int64(a.Revision) + 1
+	}
+	generated, err := generator.Generate(a, configuration.Revision(revision), nil)
+	if err != nil {
+		return err
+	}
+	return printJSON(c.Output, generated)
+}
+
+func (c *command) diff(file, other string) error {
+	after, err := readAnswers(file)
+	if err != nil {
+		return err
+	}
+	if other == "" {
+		return c.withFleet(func(ctx context.Context, f *fleet) error {
+			s, err := f.publisher.InForce(ctx)
+			if err != nil && !errors.Is(err, publication.ErrNothing) {
+				return err
+			}
+			return c.printChanges(answers.Difference(s.Answers, after))
+		})
+	}
+	before := after
+	if after, err = readAnswers(other); err != nil {
+		return err
+	}
+	return c.printChanges(answers.Difference(before, after))
+}
+
+func (c *command) printChanges(changes []answers.Change) error {
+	if c.json {
+		return printJSON(c.Output, changes)
+	}
+	for _, change := range changes {
+		if _, err := fmt.Fprintln(c.Output, change); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *command) showAnswers() error {
+	return c.withFleet(func(ctx context.Context, f *fleet) error {
+		s, err := f.publisher.InForce(ctx)
+		if err != nil {
+			return err
+		}
+		return c.printAnswers(s.Answers)
+	})
+}
+
+func (c *command) apply(file, id string, merge bool) error {
+	a, err := readAnswers(file)
+	if err != nil {
+		return err
+	}
+	if id == "" {
+		id = newID()
+	}
+	return c.withFleet(func(ctx context.Context, f *fleet) error {
+		receipt, err := f.apply(ctx, publication.Change{ID: id, Answers: a}, merge)
+		if err != nil {
+			return c.explainApply(err, id)
+		}
+		return c.awaitInForce(ctx, f, receipt)
+	})
+}
+
+// apply puts a change in force, merging it with others if that is asked for.
+func (f *fleet) apply(ctx context.Context, change publication.Change, merge bool) (publication.Receipt, error) {
+	for {
+		receipt, err := f.publisher.Apply(ctx, change)
+		var conflict *publication.ConflictError
+		if !merge || !errors.As(err, &conflict) || len(conflict.Comparison.Conflicts) > 0 {
+			return receipt, err
+		}
+		merged, mergeErr := answers.Merge(conflict.BaseAnswers, conflict.Theirs, change.Answers)
+		if mergeErr != nil {
+			return receipt, errors.Join(err, mergeErr)
+		}
+		change.Answers = merged
+	}
+}
+
+// explainApply adds to an error of apply what the operator can do.
+func (c *command) explainApply(err error, id string) error {
+	var conflict *publication.ConflictError
+	switch {
+	case errors.As(err, &conflict) && c.json:
+		return errors.Join(err, printJSON(c.Output, conflict.Comparison))
+	case errors.As(err, &conflict):
+		_, printErr := fmt.Fprint(c.Output, conflict.Comparison)
+		return errors.Join(err, printErr)
+	case errors.Is(err, publication.ErrUnknown):
+		return merry.Appendf(err, "run the command again with --id %s to find out", id)
+	}
+	return err
+}
+
+// follower is a VM and the revision that it has in force.
+type follower struct {
+	VM       ident.VM               `json:"vm"`
+	Revision configuration.Revision `json:"revision"`
+	Problem  string                 `json:"problem,omitempty"`
+}
+
+// awaitInForce waits until all VMs have a revision in force, or says which lag.
+func (c *command) awaitInForce(ctx context.Context, f *fleet, receipt publication.Receipt) error {
+	ctx, cancel := context.WithTimeout(ctx, f.settings.InForce())
+	defer cancel()
+	var vms, lagging []follower
+	for {
+		states, err := f.vms(ctx)
+		if err == nil {
+			vms, lagging = divide(states, receipt.Revision)
+			fmt.Fprintf(c.Errors, "revision %d is in force on %d of %d VMs\n", receipt.Revision, len(vms)-len(lagging), len(vms))
+			if len(lagging) == 0 {
+				break
+			}
+		}
+		if pause(ctx, pollInterval) != nil {
+			break
+		}
+	}
+	if err := c.printFollowers(receipt, vms, lagging); err != nil {
+		return err
+	}
+	if len(lagging) > 0 || len(vms) == 0 && ctx.Err() != nil {
+		return merry.Prependf(errNotEverywhere, "revision %d is in force, but %d VMs lag", receipt.Revision, len(lagging))
+	}
+	return nil
+}
+
+func divide(states []vmState, r configuration.Revision) (vms, lagging []follower) {
+	for _, s := range states {
+		one := follower{VM: s.VM, Revision: s.Revision, Problem: s.Problem}
+		vms = append(vms, one)
+		if s.Revision < r {
+			lagging = append(lagging, one)
+		}
+	}
+	return vms, lagging
+}
+
+func (c *command) printFollowers(receipt publication.Receipt, vms, lagging []follower) error {
+	if c.json {
+		return printJSON(c.Output, struct {
+			Revision configuration.Revision `json:"revision"`
+			VMs      int                    `json:"vms"`
+			InForce  int                    `json:"inForce"`
+			Lagging  []follower             `json:"lagging"`
+		}{receipt.Revision, len(vms), len(vms) - len(lagging), lagging})
+	}
+	rows := make([][]string, 0, len(lagging))
+	for _, l := range lagging {
+		rows = append(rows, []string{string(l.VM), fmt.Sprint(l.Revision), l.Problem})
+	}
+	fmt.Fprintf(c.Output, "revision %d in force on %d of %d VMs\n", receipt.Revision, len(vms)-len(lagging), len(vms))
+	if len(rows) == 0 {
+		return nil
+	}
+	return printTable(c.Output, []string{"LAGGING VM", "REVISION", "PROBLEM"}, rows)
+}
--- a/internal/publication/part.go
+++ b/internal/publication/part.go
@@ -17,29 +17,42 @@
 
 // writeParts writes parts that the manifest in force does not name. A part
 // that is there already is written again, which raises its revision and so
-// keeps a sweep that listed it before from deleting it.
-func (p *Publisher) writeParts(ctx context.Context, parts manifest.Parts) error {
+// keeps a sweep that listed it before from deleting it. since is the revision
+// of the manifest that the writer read.
+func (p *Publisher) writeParts(ctx context.Context, parts manifest.Parts, since store.Revision) error {
 	group, ctx := errgroup.WithContext(ctx)
 	group.SetLimit(writers)
 	for digest, data := range parts {
-		group.Go(func() error { return p.writePart(ctx, digest, data) })
+		group.Go(func() error { return p.writePart(ctx, digest, data, since) })
 	}
 	return group.Wait()
 }
 
 // writePart writes one part. Repeating the write after an unknown outcome does
 // no harm, as the content under a digest is always the same.
-func (p *Publisher) writePart(ctx context.Context, digest manifest.Digest, data []byte) (err error) {
+func (p *Publisher) writePart(
+	ctx context.Context, digest manifest.Digest, data []byte, since store.Revision,
+) (err error) {
 	defer func() { err = merry.Prependf(err, "writing part %s", digest) }()
 	for range maxAttempts {
 		_, err = p.store.Put(ctx, digest.Key(), data, store.Always, store.NoLease)
 		if !errors.Is(err, store.ErrUnknown) {
 			return err
 		}
+		if p.wrote(ctx, digest, since) {
+			return nil
+		}
 	}
 	return merry.Appendf(store.ErrUnavailable, "after %d attempts: %v", maxAttempts, err)
 }
 
+// wrote reports whether a part was written after since. An older one does not
+// count: a sweep that began earlier may be about to delete it.
+func (p *Publisher) wrote(ctx context.Context, digest manifest.Digest, since store.Revision) bool {
+	entry, err := p.store.Get(ctx, digest.Key())
+	return err == nil && entry.Revision > since && manifest.Sum(entry.Value) == digest
+}
+
 // Sweep removes the parts that no revision in the keep window names and
 // returns their number.
 func (p *Publisher) Sweep(ctx context.Context) (removed int, err error) {
--- a/internal/publication/publication.go
+++ b/internal/publication/publication.go
@@ -166,7 +166,7 @@
 	if err != nil {
 		return Receipt{}, err
 	}
-	if err := p.writeParts(ctx, writes); err != nil {
+	if err := p.writeParts(ctx, writes, entry.Revision); err != nil {
 		return Receipt{}, err
 	}
 	return p.swap(ctx, entry, next, c, writes)
--- a/pkg/answers/answers.go
+++ b/pkg/answers/answers.go
@@ -41,7 +41,7 @@
 type Answers struct {
 	// Revision is the revision in force that the answers were made from; 0 if
 	// none is in force yet.
-	Revision  configuration.Revision `json:"revision" default:"0" min:"0"`
+	Revision  configuration.Revision `json:"revision" default:"0" min:"0" ask:"-"`
 	Policy    Policy                 `json:"policy"`
 	Customers []Customer             `json:"customers,omitempty"`
 	Services  []Service              `json:"services,omitempty"`
@@ -82,7 +82,7 @@
 	// Key is the plain bearer key. It occurs in documents given to Decode
 	// only, as a replacement of KeyHash.
 	Key       Secret       `json:"key,omitempty" min:"16" max:"512" unit:"bytes"`
-	KeyHash   string       `json:"keyHash,omitempty" format:"hash"`
+	KeyHash   string       `json:"keyHash,omitempty" format:"hash" ask:"-"`
 	Budget    ident.Budget `json:"budget" format:"id"`
 	Priority  int          `json:"priority" default:"0" min:"-100" max:"100"`
 	MaxOutput tokens.Count `json:"maxOutput" default:"4096" min:"1" max:"1000000" unit:"tokens"`
--- a/pkg/answers/document.go
+++ b/pkg/answers/document.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"io"
 	"slices"
 
 	"github.com/ansel1/merry/v2"
@@ -24,6 +25,25 @@
 	return a, problems.Err()
 }
 
+// Blank returns answers with the default policy and nothing else.
+func Blank() (a Answers) {
+	document.Decode([]byte("{}"), &a)
+	return a
+}
+
+// Ask completes the answers in start by the questionnaire: it shows the
+// questions on w and reads a line for each from r. Plain keys are replaced by
+// their hashes. The answers are returned even if the error wraps Problems.
+func Ask(r io.Reader, w io.Writer, start Answers) (a Answers, err error) {
+	defer func() { err = merry.Prepend(err, "asking for the answers") }()
+	a = Canonical(start)
+	if err := document.Ask(r, w, &a); err != nil {
+		return Answers{}, err
+	}
+	a = Canonical(a)
+	return a, Check(a, nil)
+}
+
 // Encode returns the document in its canonical form: sorted, indented, with
 // all defaults spelled out and without plain keys.
 func Encode(a Answers) (data []byte, err error) {
