Join the membership to the router

Cause: takeovers, bills held by peers and reclaiming need to know who lives. Change: the router registers, follows its peers and probes them; a lapsed registration keeps its incarnation and forgets its unreserved tokens, since the ledger refuses bills on a share that was reclaimed.

--- a/internal/reclaim/reclaim.go
+++ b/internal/reclaim/reclaim.go
@@ -40,13 +40,14 @@
 	Self     ident.Incarnation
 	Lifetime func() time.Duration // of shares
 	Interval time.Duration        // between two searches
+	Clock    func() time.Time
 	Log      hclog.Logger
 }
 
 // Members knows which holders are gone.
 type Members interface {
 	Owner(page int) (membership.Member, bool)
-	Track(holders ...ident.Incarnation)
+	Track(now time.Time, holders ...ident.Incarnation)
 	Forget(holder ident.Incarnation)
 	Gone(lifetime time.Duration) []ident.Incarnation
 }
@@ -118,7 +119,7 @@
 	}
 	for _, b := range p.Budgets {
 		for holder := range b.Shares {
-			r.settings.Members.Track(holder)
+			r.settings.Members.Track(r.settings.Clock(), holder)
 		}
 	}
 }
--- a/internal/router/compose.go
+++ b/internal/router/compose.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"example.org/lagoonfork/internal/callerapi"
@@ -55,6 +56,8 @@
 	// probeFailures is the number of failed probes in a row that make a peer
 	// suspect.
 	probeFailures = 2
+	// probeRounds is the number of rounds of probes for which an answer counts.
+	probeRounds = 4
 )
 
 func (s Settings) withDefaults() Settings {
@@ -81,7 +84,7 @@
 }
 
 // join registers the VM and begins to follow its peers and the configuration.
-func (r *Router) join() {
+func (r *Router) join() (err error) {
 	s := r.settings
 	record := membership.Record{
 		VM:            s.VM,
@@ -91,19 +94,29 @@
 		Region:        s.Region,
 		Started:       s.Clock(),
 	}
-	r.registration = registration.New(registration.Settings{
-		Store:    s.Store,
-		Record:   record,
-		Clock:    s.Clock,
-		Log:      s.Log,
-		TTL:      s.Timing.LeaseTTL,
-		Interval: s.Timing.LeaseTTL / 4,
-		Timeout:  storeTimeout,
+	r.registration, err = registration.New(registration.Settings{
+		Store:          s.Store,
+		Record:         record,
+		Clock:          s.Clock,
+		Log:            s.Log,
+		TTL:            s.Timing.LeaseTTL,
+		Interval:       s.Timing.LeaseTTL / 4,
+		Timeout:        storeTimeout,
+		Lifetime:       r.shareLifetime,
+		NewIncarnation: r.renewIncarnation,
 	})
-	r.members = follower.New(follower.Settings{
-		Store:    s.Store,
-		VMs:      s.VMs,
-		View:     membership.Settings{Self: record, ProbeFailures: probeFailures, ProbeValidity: 4 * s.Timing.Probe, MaxGap: s.Timing.LeaseTTL / 2},
+	if err != nil {
+		return err
+	}
+	r.members, err = follower.New(follower.Settings{
+		Store: s.Store,
+		VMs:   s.VMs,
+		View: membership.Settings{
+			Self:          record,
+			ProbeFailures: probeFailures,
+			ProbeValidity: probeRounds * s.Timing.Probe,
+			MaxGap:        s.Timing.LeaseTTL / 2,
+		},
 		Clock:    s.Clock,
 		Log:      s.Log,
 		Timeout:  storeTimeout,
@@ -111,6 +124,9 @@
 		Poll:     listInterval,
 		Lifetime: r.shareLifetime,
 	})
+	if err != nil {
+		return errors.Join(err, r.registration.Close())
+	}
 	r.client = peerclient.New(peerclient.Settings{
 		Members: r.members,
 		Self:    r.incarnation,
@@ -125,6 +141,18 @@
 		Live:  r.liveVMs,
 		Log:   s.Log,
 	})
+	return nil
+}
+
+// renewIncarnation is called when the router was out of reach for longer than
+// the lifetime of shares, so that its shares may have been reclaimed. The
+// router keeps its incarnation, since the ledger refuses bills on a share that
+// is gone; it only forgets the tokens that it may no longer have.
+func (r *Router) renewIncarnation() ident.Incarnation {
+	if r.serving.Load() {
+		r.wallet.InvalidateAll()
+	}
+	return r.incarnation
 }
 
 // compose builds the parts that need a configuration.
@@ -152,7 +180,7 @@
 	r.engines = engineclient.New(engineclient.Settings{SilenceLimit: r.silenceLimit, Log: s.Log, Clock: s.Clock})
 	r.plain = plainclient.New(plainclient.Settings{SilenceLimit: r.silenceLimit, Log: s.Log})
 	r.directory = directory.New(routing.Place{FailureDomain: s.FailureDomain, Region: s.Region}, r.liveRouters)
-	r.directory.Configure(s.Clock(), r.watcher.Current())
+	r.configure()
 	r.quarantine = keeper.New(keeper.Settings{Store: s.Store, Clock: s.Clock, Log: s.Log, Interval: s.Timing.Quarantine})
 	r.dispatcher = dispatch.New(dispatch.Settings{
 		Holder:     r.incarnation,
@@ -190,6 +218,7 @@
 		Self:     r.incarnation,
 		Lifetime: r.shareLifetime,
 		Interval: s.Timing.Reclaim,
+		Clock:    s.Clock,
 		Log:      s.Log,
 	})
 	r.tomb.Go(r.followConfiguration)
@@ -226,7 +255,7 @@
 func (r *Router) followConfiguration() error {
 	for {
 		changed := r.watcher.Changed()
-		r.directory.Configure(r.settings.Clock(), r.watcher.Current())
+		r.configure()
 		select {
 		case <-changed:
 		case <-r.tomb.Dying():
@@ -264,13 +293,20 @@
 	return time.Duration(r.policy().SilenceLimitMillis) * time.Millisecond
 }
 
-// shareLifetime is the lifetime of shares under the policy in force.
+// shareLifetime is the lifetime of shares under the policy in force, or a
+// default before there is one.
 func (r *Router) shareLifetime() time.Duration {
-	c := r.watcher.Current()
-	if c == nil {
-		return defaultShareLifetime
+	if d := time.Duration(r.lifetime.Load()); d > 0 {
+		return d
 	}
-	return time.Duration(c.Policy.ShareLifetimeSeconds) * time.Second
+	return defaultShareLifetime
+}
+
+// configure puts the configuration in force in the parts that hold a copy.
+func (r *Router) configure() {
+	c := r.watcher.Current()
+	r.lifetime.Store(int64(c.Policy.ShareLifetimeSeconds) * int64(time.Second))
+	r.directory.Configure(r.settings.Clock(), c)
 }
 
 // mayDeliver reports whether the lease was confirmed within the lifetime of
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -126,6 +126,7 @@
 	journal      *journal.Journal
 	notices      chan wallet.Notice
 
+	lifetime atomic.Int64 // of shares, in nanoseconds
 	serving  atomic.Bool
 	draining atomic.Bool
 }
@@ -142,7 +143,9 @@
 	if err := r.listen(); err != nil {
 		return nil, err
 	}
-	r.join()
+	if err := r.join(); err != nil {
+		return nil, errors.Join(err, r.callers.Close(), r.peers.Close())
+	}
 	if err := r.watcher.AwaitFirst(ctx); err != nil {
 		return nil, errors.Join(err, r.abort())
 	}
