--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -46,7 +46,6 @@
 	"example.org/lagoonfork/internal/survey"
 	"example.org/lagoonfork/internal/vmlist"
 	"example.org/lagoonfork/internal/wallet"
-	"example.org/lagoonfork/pkg/configuration"
 	"example.org/lagoonfork/pkg/ident"
 	"example.org/lagoonfork/pkg/store"
 )
@@ -163,35 +162,6 @@
 	return ident.Incarnation(string(vm) + "-" + hex.EncodeToString(b[:]))
 }
 
-// CallerAddress returns where callers reach the router.
-func (r *Router) CallerAddress() netip.AddrPort { return r.callerAddress }
-
-// PeerAddress returns where peers reach the router.
-func (r *Router) PeerAddress() netip.AddrPort { return r.peerAddress }
-
-// Incarnation returns the identifier of this run.
-func (r *Router) Incarnation() ident.Incarnation { return r.incarnation }
-
-// Done is closed when the router has to stop because the VM has a younger
-// incarnation.
-func (r *Router) Done() <-chan struct{} { return r.registration.Dead() }
-
-// Status returns what the router says of itself.
-func (r *Router) Status() peerclient.Status {
-	return peerclient.Status{
-		VM:          r.settings.VM,
-		Incarnation: r.incarnation,
-		Revision:    int64(r.watcher.Revision()),
-		Ready:       r.ready(),
-		Draining:    r.draining.Load(),
-	}
-}
-
-// ready reports whether the balancer should send callers.
-func (r *Router) ready() bool {
-	return r.serving.Load() && !r.draining.Load()
-}
-
 // Close drains the router. When ctx ends, what is still in progress is cut
 // off.
 func (r *Router) Close(ctx context.Context) (err error) {
@@ -292,6 +262,3 @@
 		return nil
 	})
 }
-
-// Index returns the index of the configuration in force.
-func (r *Router) Index() *configuration.Index { return r.watcher.Index() }
