Estimate waits by slots, own work and shared prefix homes

Change: a wait for a slot starts only where the work exceeds the slots; an aged report gives way to the own work times the number of routers; all routers share two homes for a prefix; the part of prompts found in caches is learned from answers; the prefill pace follows the least times.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -85,6 +85,7 @@
 func (d *Directory) Resize(now time.Time) {
 	routers := max(d.live(), 1)
 	for _, s := range d.All() {
+		s.Table.Share(routers)
 		slots := max(s.Table.Slots(now)*overcommit/routers, 1)
 		s.Gate.Resize(tokens.Count(slots) * slotTokens)
 	}
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -94,7 +94,7 @@
 	work := x.service.Table.Start(x.d.Clock(), up.ID, x.work(), suspect)
 	var seen routing.Observation
 	defer func() { x.service.Table.Finish(x.d.Clock(), work, seen) }()
-	out, seen, err = x.dispatch(ctx, up, ident.Attempt(fmt.Sprintf("%s-%d", x.attempt, n)), decision.Cached)
+	out, seen, err = x.dispatch(ctx, up, ident.Attempt(fmt.Sprintf("%s-%d", x.attempt, n)), decision.Reason == routing.ReasonPrefix)
 	x.judge(up, err)
 	return out, err
 }
@@ -156,9 +156,9 @@
 	return callWork
 }
 
-func (x *run) dispatch(ctx context.Context, up configuration.Upstream, a ident.Attempt, cached tokens.Count) (outcome, routing.Observation, error) {
+func (x *run) dispatch(ctx context.Context, up configuration.Upstream, a ident.Attempt, expected bool) (outcome, routing.Observation, error) {
 	if x.r.Chat != nil {
-		return x.chat(ctx, up, a, cached)
+		return x.chat(ctx, up, a, expected)
 	}
 	return x.call(ctx, up, a)
 }
@@ -181,7 +181,7 @@
 }
 
 // chat runs the request on an engine and appends its tokens to the answer.
-func (x *run) chat(ctx context.Context, up configuration.Upstream, a ident.Attempt, cached tokens.Count) (out outcome, seen routing.Observation, err error) {
+func (x *run) chat(ctx context.Context, up configuration.Upstream, a ident.Attempt, expected bool) (out outcome, seen routing.Observation, err error) {
 	began := x.d.Clock()
 	x.position = 0
 	request := ident.Request(x.r.key())
@@ -205,7 +205,8 @@
 		return outcome{}, routing.Observation{Failed: upstreamFault(ctx, err)}, err
 	}
 	end.Attempt, end.Upstream = a, up.ID
-	seen = x.observe(began, first, cached)
+	seen = x.observe(began, first, end.Usage)
+	seen.Expected = expected
 	return outcome{end: end, cost: x.cost(end.Usage)}, seen, nil
 }
 
@@ -289,11 +290,17 @@
 	}
 }
 
-func (x *run) observe(began, first time.Time, cached tokens.Count) routing.Observation {
+func (x *run) observe(began, first time.Time, u *engine.Usage) routing.Observation {
 	if first.IsZero() {
 		return routing.Observation{}
 	}
-	o := routing.Observation{FirstToken: first.Sub(began), Uncached: x.r.Chat.Prompt - cached}
+	o := routing.Observation{FirstToken: first.Sub(began), Prompt: x.r.Chat.Prompt}
+	if u != nil {
+		o.Prompt = u.PromptTokens
+	}
+	if u != nil && u.Details != nil {
+		o.Cached = u.Details.CachedTokens
+	}
 	if x.position > 1 {
 		o.PerToken = x.d.Clock().Sub(first) / time.Duration(x.position-1)
 	}
--- a/internal/routing/choice.go
+++ b/internal/routing/choice.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"example.org/lagoonfork/pkg/tokens"
 )
 
@@ -27,12 +29,25 @@
 	if c.query.Prefix == "" {
 		return
 	}
-	length := prefixLength(c.query.Prompt)
+	length := tokens.Count(c.table.cachedPart * float64(c.query.Prompt))
 	for _, holder := range c.table.prefixes[c.query.Prefix] {
 		if holder.epoch == holder.member.cacheEpoch {
 			c.consider(holder.member, length, ReasonPrefix)
 		}
 	}
+	for i := range uint64(homes) {
+		c.consider(c.table.home(c.query.Prefix, i), length/2, ReasonHome)
+	}
+}
+
+// home returns an upstream that all routers agree on for a prefix, so that its
+// prompts meet there without an exchange between the routers.
+func (t *Table) home(p Prefix, i uint64) *member {
+	if len(t.all) == 0 {
+		return nil
+	}
+	h := xxhash.Sum64String(string(p)) + i*homeStride
+	return t.all[h%uint64(len(t.all))]
 }
 
 func (c *choice) considerSample(from []*member, n int, rng *rand.Rand) {
@@ -62,7 +77,7 @@
 
 // consider takes m if its expected wait is less than the best so far.
 func (c *choice) consider(m *member, cached tokens.Count, reason Reason) {
-	if m == c.member || !c.eligible(m) {
+	if m == nil || m == c.member || !c.eligible(m) {
 		return
 	}
 	wait := c.table.expectedWait(c.now, m, c.query, cached)
@@ -101,12 +116,9 @@
 }
 
 // expectedWait estimates how long the query would wait on m for its first
-// token: the work ahead of it in the queue, its own uncached prompt, and the
-// way there.
+// token: for a slot, for its own uncached prompt, and on the way there.
 func (t *Table) expectedWait(now time.Time, m *member, q *Query, cached tokens.Count) time.Duration {
-	ahead := t.backlog(now, m)
-	slots := max(m.upstream.Slots, 1)
-	wait := time.Duration(ahead) * m.pace / time.Duration(slots)
+	wait := t.slotWait(now, m)
 	wait += time.Duration(max(q.Prompt-cached, 0)) * m.prefill
 	wait += m.distance
 	if q.Isolate {
@@ -115,21 +127,31 @@
 	return wait
 }
 
+// slotWait estimates the wait for a slot. While the work on m fits its slots
+// there is next to none; it grows with what exceeds them.
+func (t *Table) slotWait(now time.Time, m *member) time.Duration {
+	ahead := float64(t.backlog(now, m))
+	slots := float64(max(m.upstream.Slots, 1))
+	fits := slots * t.typical * slotFill
+	excess := max(ahead-fits, 0)
+	perToken := float64(m.pace) / slots
+	return time.Duration(perToken * (excess + sharing*min(ahead, fits)))
+}
+
 // backlog estimates the tokens that m has yet to generate. A report counts in
-// full when it is new, and fades into the service's mean as it ages.
+// full when it is new, with the own work started since that is still in flight.
+// As the report ages, an estimate from the own work alone takes its place: the
+// other routers are taken to send as much as this one.
 func (t *Table) backlog(now time.Time, m *member) tokens.Count {
-	own := m.outstanding
+	own := float64(m.outstanding)
+	alone := own * float64(max(t.routers, 1))
 	if m.reported.IsZero() {
-		return max(own, t.mean())
+		return tokens.Count(alone)
 	}
 	weight := freshness(now.Sub(m.reported))
-	blended := weight*float64(m.load) + (1-weight)*float64(t.mean())
-	return max(own, tokens.Count(blended)+m.startedSince(m.reported))
-}
-
-// mean returns the mean of the reported backlogs.
-func (t *Table) mean() tokens.Count {
-	return t.backlogs / tokens.Count(max(t.reported, 1))
+	since := min(float64(m.startedSince(m.reported)), own)
+	estimate := weight*(float64(m.load)+since) + (1-weight)*alone
+	return tokens.Count(max(own, estimate))
 }
 
 // freshness is 1 for a report of this moment, and one half at reportHalfLife.
--- a/internal/routing/commands.go
+++ b/internal/routing/commands.go
@@ -23,8 +23,11 @@
 	FirstToken time.Duration
 	// PerToken is the mean time between two tokens.
 	PerToken time.Duration
-	// Uncached is the part of the prompt that was not expected in the cache.
-	Uncached tokens.Count
+	// Prompt is the length of the prompt, Cached the part of it that the
+	// upstream found in its cache.
+	Prompt, Cached tokens.Count
+	// Expected reports that the prefix was expected in the cache.
+	Expected bool
 	// Failed reports that the upstream, rather than the request, failed.
 	Failed bool
 }
@@ -53,17 +56,13 @@
 		}
 	}
 	t.members = members
-	t.sumReports()
 }
 
-func (t *Table) sumReports() {
-	t.reported, t.backlogs = 0, 0
-	for _, m := range t.all {
-		if !m.reported.IsZero() {
-			t.reported++
-			t.backlogs += m.load
-		}
-	}
+// Share tells how many routers send to the upstreams, this one included.
+func (t *Table) Share(routers int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.routers = routers
 }
 
 func (t *Table) keepOrAdd(u configuration.Upstream) *member {
@@ -85,6 +84,7 @@
 	if m == nil {
 		return w
 	}
+	t.typical += paceWeight * (float64(size) - t.typical)
 	m.outstanding += size
 	m.running[w] = struct{}{}
 	m.remember(start{at: now, work: size})
@@ -111,6 +111,10 @@
 		m.isolated--
 	}
 	m.observe(now, o)
+	if o.Expected && o.Prompt > 0 {
+		part := float64(o.Cached) / float64(o.Prompt)
+		t.cachedPart += paceWeight * (part - t.cachedPart)
+	}
 }
 
 func (m *member) observe(now time.Time, o Observation) {
@@ -122,11 +126,21 @@
 	if o.PerToken > 0 {
 		m.pace = average(m.pace, o.PerToken)
 	}
-	if o.FirstToken > 0 && o.Uncached > 0 {
-		m.prefill = average(m.prefill, o.FirstToken/time.Duration(o.Uncached))
+	if uncached := o.Prompt - o.Cached; o.FirstToken > 0 && uncached > 0 {
+		m.observePrefill(o.FirstToken / time.Duration(uncached))
 	}
 }
 
+// observePrefill follows the least times per prompt token, since the time to
+// the first token includes the wait for a slot.
+func (m *member) observePrefill(perToken time.Duration) {
+	if perToken < m.prefill {
+		m.prefill = average(m.prefill, perToken)
+		return
+	}
+	m.prefill += time.Duration(prefillRise * float64(m.prefill))
+}
+
 // fail pauses the upstream, twice as long for each failure in a row.
 func (m *member) fail(now time.Time) {
 	pause := lastPause
@@ -157,10 +171,6 @@
 	if m == nil || !r.AsOf.After(m.reported) {
 		return
 	}
-	if m.reported.IsZero() {
-		t.reported++
-	}
-	t.backlogs += r.Backlog - m.load
 	m.load = r.Backlog
 	m.reported = r.AsOf
 	m.models = r.Models
--- a/internal/routing/member.go
+++ b/internal/routing/member.go
@@ -19,13 +19,27 @@
 	defaultPace    = 20 * time.Millisecond  // per generated token
 	defaultPrefill = 200 * time.Microsecond // per prompt token
 
+	// slotFill is the part of the slots' usual work above which requests are
+	// taken to queue.
+	slotFill = 0.75
+	// sharing is how much of the work in the slots counts as a wait, since
+	// requests that run together slow each other down.
+	sharing = 0.02
+
+	// defaultCachedPart is the part of a prompt that is taken to be cached
+	// with its prefix, before any answer has shown it.
+	defaultCachedPart = 0.25
+
 	// reportHalfLife is the age at which a load report counts half.
-	reportHalfLife = 2 * time.Second
+	reportHalfLife = 500 * time.Millisecond
 	// isolationPenalty is added for each request that an isolated one would
 	// run beside.
 	isolationPenalty = 500 * time.Millisecond
 	// paceWeight is the weight of a new observation in the moving averages.
 	paceWeight = 0.2
+	// prefillRise is how much the time per prompt token rises with each
+	// observation above it.
+	prefillRise = 0.01
 	// firstPause and lastPause bound how long an upstream that failed is left
 	// alone.
 	firstPause = 500 * time.Millisecond
--- a/internal/routing/prefix.go
+++ b/internal/routing/prefix.go
@@ -4,17 +4,11 @@
 	"strconv"
 
 	"github.com/cespare/xxhash/v2"
-
-	"example.org/lagoonfork/pkg/tokens"
 )
 
-const (
-	// prefixBytes is the length of the prompt's beginning that identifies the
-	// prompts which may share a cached prefix.
-	prefixBytes = 1024
-	// bytesPerToken is the mean length of a token in prompts.
-	bytesPerToken = 4
-)
+// prefixBytes is the length of the prompt's beginning that identifies the
+// prompts which may share a cached prefix.
+const prefixBytes = 1024
 
 // Prefix identifies the beginning of a prompt. The router sends it to engines
 // as the cache key.
@@ -28,9 +22,3 @@
 	}
 	return Prefix(strconv.FormatUint(xxhash.Sum64String(prompt[:prefixBytes]), 16))
 }
-
-// prefixLength returns how much of a prompt an engine is expected to have
-// cached that holds its prefix.
-func prefixLength(prompt tokens.Count) tokens.Count {
-	return min(prompt, prefixBytes/bytesPerToken)
-}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -54,8 +54,11 @@
 	all      []*member
 	near     []*member // those in the router's failure domain
 	prefixes map[Prefix][]cached
-	reported int          // number of upstreams that have reported their load
-	backlogs tokens.Count // sum of the reported backlogs
+	routers  int     // that send to the upstreams, this one included
+	typical  float64 // moving average of the work of a request
+	// cachedPart is the moving average of the part of a prompt that was cached
+	// where its prefix was expected.
+	cachedPart float64
 }
 
 // NewTable returns a table of the service's upstreams for a router at place.
@@ -64,6 +67,8 @@
 		place:    place,
 		members:  make(map[ident.Upstream]*member),
 		prefixes: make(map[Prefix][]cached),
+
+		cachedPart: defaultCachedPart,
 	}
 	t.Configure(service)
 	return t
@@ -92,6 +97,7 @@
 const (
 	ReasonLeastWait Reason = "leastWait"
 	ReasonPrefix    Reason = "prefixCached"
+	ReasonHome      Reason = "prefixHome"
 	ReasonIsolated  Reason = "isolated"
 	ReasonFullScan  Reason = "fullScan"
 	// ReasonAllPaused tells that all upstreams have failed lately, so that the
@@ -104,6 +110,10 @@
 	sampledNear      = 3
 	sampledAnywhere  = 3
 	samplingAttempts = 4
+	// homes is the number of upstreams that all routers agree on for a prefix,
+	// homeStride the distance between them.
+	homes      = 2
+	homeStride = 0x9e3779b97f4a7c15
 )
 
 // Decision is the upstream chosen for a request.
