--- a/internal/membership/registration/register.go
+++ b/internal/membership/registration/register.go
@@ -155,18 +155,23 @@
 
 // expired reports whether the lifetime of the incarnation has passed.
 func (r *Registration) expired(now time.Time) bool {
-	confirmed := r.Confirmed()
-	return !confirmed.IsZero() && now.Sub(confirmed) >= r.settings.Lifetime()
+	last := r.made
+	if confirmed := r.Confirmed(); !confirmed.IsZero() {
+		last = confirmed
+	}
+	return now.Sub(last) >= r.settings.Lifetime()
 }
 
 // replaceExpired begins a new incarnation if the lifetime has passed.
 func (r *Registration) replaceExpired() {
-	if !r.expired(r.settings.Clock()) {
+	now := r.settings.Clock()
+	if !r.expired(now) {
 		return
 	}
 	from := r.record.Incarnation
 	r.mu.Lock()
 	r.record.Incarnation = r.settings.NewIncarnation()
+	r.made = now
 	r.confirmed = time.Time{}
 	r.mu.Unlock()
 	event.IncarnationReplaced.Warn(r.settings.Log, "vm", r.record.VM, "from", from, "to", r.record.Incarnation)
--- a/internal/membership/registration/registration.go
+++ b/internal/membership/registration/registration.go
@@ -7,7 +7,8 @@
 //
 // An incarnation may act until a lifetime after it was last confirmed. A lease
 // that lapses within the lifetime is replaced by a new one for the same
-// incarnation. Past the lifetime other routers may have reclaimed what the
+// incarnation. Past the lifetime, which counts from the making of an
+// incarnation that was never confirmed, other routers may have reclaimed what the
 // incarnation held, even if it was only paused; the router then registers as a
 // new incarnation, and the old one stays ended for good.
 //
@@ -101,6 +102,7 @@
 
 	mu        sync.Mutex
 	record    membership.Record // of the present incarnation
+	made      time.Time         // when the incarnation was made
 	confirmed time.Time
 
 	// The loop alone uses these, and Close after it has ended.
@@ -130,6 +132,7 @@
 		settings: settings,
 		first:    make(chan struct{}),
 		record:   settings.Record,
+		made:     settings.Clock(),
 	}, nil
 }
 
