Test shares by properties and fault schedules

Change: property tests of the plan; schedules of random faults over three wallets and one page, checked for refused bills, lost tokens and the page's invariant. A keeper's reserve follows the rate at which others spend.

--- a/internal/share/policy.go
+++ b/internal/share/policy.go
@@ -14,6 +14,9 @@
 	// Horizon is how long a share should last at the present drawing rate,
 	// Reach at the mean one.
 	Horizon, Reach time.Duration
+	// KeepReach is how long a keeper's reserve should last at the rate at
+	// which others spend.
+	KeepReach time.Duration
 	// ReserveRequests is the number of usual requests that a budget in use is
 	// kept ready for, whatever its drawing rate.
 	ReserveRequests int
@@ -32,7 +35,10 @@
 
 // Bounds of the settings between which Lean chooses.
 const (
-	defaultHorizon       = 10 * time.Second
+	defaultHorizon = 10 * time.Second
+	// keepDivisor is how many times longer a share lasts than the reserve of a
+	// keeper.
+	keepDivisor          = 10
 	defaultLifetime      = 90 * time.Second
 	defaultAllowance     = 500 * time.Millisecond
 	cautionRefill        = 0.5
@@ -78,6 +84,7 @@
 		Lean:             lean,
 		Horizon:          horizon,
 		Reach:            reach,
+		KeepReach:        reach / keepDivisor,
 		ReserveRequests:  int(between(cautionReserve, availabilityReserve)),
 		FreeFraction:     between(cautionFraction, availabilityFraction),
 		SpreadDomains:    lean > 0,
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -37,6 +37,9 @@
 	// FleetRate is the rate at which all holders together spend the budget, 0
 	// if it is not known.
 	FleetRate float64
+	// Kept is the rate at which others spend the budget, of which this router
+	// is the keeper in its failure domain; 0 if it is not.
+	Kept float64
 	// Request is the usual size of a reservation.
 	Request tokens.Count
 	// Used is the time of the last reservation, or of the last notice that
@@ -82,7 +85,6 @@
 	ReasonExcess    Reason = "share exceeds twice its target"
 	ReasonExhausted Reason = "budget exhausted, others hold tokens"
 	ReasonSpent     Reason = "budget exhausted, no other share has free tokens"
-	ReasonPoolEmpty Reason = "nothing left to draw"
 )
 
 // Decision is what Plan decided.
@@ -155,10 +157,6 @@
 }
 
 func planRefill(s State, p Policy, d Decision) Decision {
-	if s.Pool <= 0 {
-		d.Reason = ReasonPoolEmpty
-		return d
-	}
 	d.Action, d.Reason = ActionDraw, ReasonRefill
 	if d.Target <= s.floor(p) {
 		d.Reason = ReasonReserve
@@ -180,7 +178,7 @@
 	if s.idle(now, p) {
 		return 0
 	}
-	sized := max(s.Rate*p.Horizon.Seconds(), s.Mean*p.Reach.Seconds())
+	sized := max(s.Rate*p.Horizon.Seconds(), s.Mean*p.Reach.Seconds(), s.Kept*p.KeepReach.Seconds())
 	return min(max(tokens.Count(min(sized, largest)), s.floor(p)), s.limit(p))
 }
 
--- /dev/null
+++ b/internal/share/share_test.go
@@ -0,0 +1,234 @@
+package share
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"pgregory.net/rapid"
+
+	"example.org/lagoonfork/internal/ledger"
+	"example.org/lagoonfork/pkg/configuration"
+	"example.org/lagoonfork/pkg/ident"
+	"example.org/lagoonfork/pkg/tokens"
+)
+
+var testTime = time.Unix(1_000_000, 0)
+
+func caution() Policy      { return Lean(0, 10*time.Second, 90*time.Second, time.Second) }
+func availability() Policy { return Lean(1, 10*time.Second, 15*time.Minute, time.Second) }
+
+// inUse is the state of a share in use of an ample budget.
+func inUse() State {
+	return State{Free: 5000, Rate: 500, Mean: 400, Request: 1000, Used: testTime, Pool: 1_000_000, Live: 9}
+}
+
+func TestPlan(t *testing.T) {
+	holders := []ledger.Holding{
+		{Holder: "a", Granted: 500, Reserved: 300},
+		{Holder: "b", Granted: 900, Reserved: 100},
+		{Holder: "c", Granted: 50, Reserved: 50},
+	}
+	for name, c := range map[string]struct {
+		change func(s *State)
+		want   Decision
+	}{
+		"enough":      {func(s *State) {}, Decision{Action: ActionHold, Reason: ReasonEnough, Target: 5000}},
+		"refill":      {func(s *State) { s.Free = 2000 }, Decision{Action: ActionDraw, Reason: ReasonRefill, Want: 3000, Least: 1, Target: 5000}},
+		"reserve":     {func(s *State) { s.Rate, s.Free = 0, 0 }, Decision{Action: ActionDraw, Reason: ReasonReserve, Want: 2000, Least: 1, Target: 2000}},
+		"empty pool":  {func(s *State) { s.Pool, s.Free = 0, 0 }, Decision{Action: ActionHold, Reason: ReasonEnough, Target: 0}},
+		"excess":      {func(s *State) { s.Free = 20_000 }, Decision{Action: ActionReturn, Reason: ReasonExcess, Want: 15_000, Target: 5000}},
+		"hysteresis":  {func(s *State) { s.Free = 9000 }, Decision{Action: ActionHold, Reason: ReasonEnough, Target: 5000}},
+		"idle":        {func(s *State) { s.Used = testTime.Add(-time.Minute) }, Decision{Action: ActionReturn, Reason: ReasonIdle, Want: 5000}},
+		"idle, empty": {func(s *State) { s.Free, s.Used = 0, time.Time{} }, Decision{Action: ActionHold, Reason: ReasonEnough}},
+		"runs down":   {func(s *State) { s.Free, s.Pool = 100, 9000 }, Decision{Action: ActionDraw, Reason: ReasonReserve, Want: 809, Least: 1, Target: 909}},
+		"needed": {func(s *State) { s.Needed, s.Least = 7000, 6000 },
+			Decision{Action: ActionDraw, Reason: ReasonNeeded, Want: 7000, Least: 1000, Target: 5000}},
+		"last tokens": {func(s *State) { s.Needed, s.Least, s.Pool = 7000, 6000, 2500 },
+			Decision{Action: ActionDraw, Reason: ReasonLast, Want: 2000, Least: 1000, Target: 749}},
+		"recall the largest": {func(s *State) { s.Free, s.Needed, s.Least, s.Pool, s.Exhausted = 0, 750, 750, 50, true },
+			Decision{Action: ActionRecall, Reason: ReasonExhausted, Want: 750, Least: 750, Target: 5,
+				Recalls: []Recall{{Holding: holders[1], Want: 700}}}},
+		"recall more in the second round": {func(s *State) { s.Free, s.Needed, s.Least, s.Pool, s.Exhausted, s.Round = 0, 750, 750, 50, true, 1 },
+			Decision{Action: ActionRecall, Reason: ReasonExhausted, Want: 750, Least: 750, Target: 5,
+				Recalls: []Recall{{Holding: holders[1], Want: 800}, {Holding: holders[0], Want: 200}}}},
+		"spent": {func(s *State) { s.Free, s.Needed, s.Least, s.Pool, s.Exhausted = 0, 1051, 1051, 50, true },
+			Decision{Action: ActionRefuse, Reason: ReasonSpent, Target: 5}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := inUse()
+			s.Holders = holders
+			c.change(&s)
+			assert.Equal(t, c.want, Plan(testTime, s, caution()))
+		})
+	}
+}
+
+func TestAvailabilityHoldsMore(t *testing.T) {
+	s := inUse()
+	s.Pool = 100_000_000
+	d := Plan(testTime, s, availability())
+	assert.Equal(t, ActionDraw, d.Action)
+	assert.EqualValues(t, 400*15*60, d.Target)
+	s.Used = testTime.Add(-5 * time.Minute)
+	assert.Equal(t, ActionDraw, Plan(testTime, s, availability()).Action)
+	assert.Equal(t, ActionReturn, Plan(testTime, s, caution()).Action)
+}
+
+func TestLargeHolderMayHoldItsPart(t *testing.T) {
+	s := inUse()
+	s.Pool, s.Mean, s.FleetRate = 300_000, 900, 1000
+	large := Plan(testTime, s, availability()).Target
+	s.FleetRate = 9000
+	assert.Greater(t, large, Plan(testTime, s, availability()).Target)
+}
+
+func TestNewPolicy(t *testing.T) {
+	c := configuration.Policy{Preference: configuration.PreferAvailability, ShareLifetimeSeconds: 600, RefusalAllowanceMillis: 200}
+	p := NewPolicy(c)
+	assert.Equal(t, 10*time.Minute, p.Reach)
+	assert.Equal(t, 200*time.Millisecond, p.RefusalAllowance)
+	assert.True(t, p.SpreadDomains)
+	c.Preference = configuration.PreferCaution
+	assert.Zero(t, NewPolicy(c).Reach)
+	assert.False(t, NewPolicy(c).SpreadDomains)
+}
+
+func genState(t *rapid.T) State {
+	count := func(name string) tokens.Count {
+		return tokens.Count(rapid.Int64Range(0, 1<<20).Draw(t, name))
+	}
+	s := State{
+		Free: count("free"), Reserved: count("reserved"), Request: count("request") >> 8, Pool: count("pool"),
+		Rate: float64(count("rate")), Mean: float64(count("mean")), FleetRate: float64(count("fleet")), Kept: float64(count("kept")),
+		Used: testTime.Add(-time.Duration(rapid.IntRange(0, 2000).Draw(t, "idle")) * time.Second),
+		Live: rapid.IntRange(0, 400).Draw(t, "live"), Exhausted: rapid.Bool().Draw(t, "exhausted"), Round: rapid.IntRange(0, 9).Draw(t, "round"),
+	}
+	if rapid.Bool().Draw(t, "waiting") {
+		s.Least = count("least")
+		s.Needed = s.Least + count("more")
+	}
+	for i := range rapid.IntRange(0, 5).Draw(t, "holders") {
+		h := ledger.Holding{Holder: ident.Incarnation(fmt.Sprint(i)), Granted: count("granted")}
+		h.Reserved = min(count("held"), h.Granted)
+		s.Holders = append(s.Holders, h)
+	}
+	return s
+}
+
+// TestPlanProperties checks that any decision can be carried out, and that one
+// which is carried out leaves nothing to do.
+func TestPlanProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := genState(t)
+		p := Lean(rapid.Float64Range(0, 1).Draw(t, "lean"), 0, 0, 0)
+		d := Plan(testTime, s, p)
+		assert.GreaterOrEqual(t, d.Target, tokens.Count(0))
+		switch d.Action {
+		case ActionHold:
+			assert.LessOrEqual(t, s.Needed, s.Free)
+		case ActionDraw:
+			assert.Positive(t, d.Least)
+			assert.LessOrEqual(t, d.Least, d.Want)
+			if s.Needed == 0 {
+				assert.LessOrEqual(t, d.Want, s.Pool, "a refill asks for no more than there is")
+				s.Free, s.Pool = s.Free+d.Want, s.Pool-d.Want
+				assert.Equal(t, ActionHold, Plan(testTime, s, p).Action)
+			}
+		case ActionReturn:
+			assert.Positive(t, d.Want)
+			assert.LessOrEqual(t, d.Want, s.Free)
+			assert.Zero(t, s.Needed, "nothing is returned while requests wait")
+		case ActionRecall:
+			checkRecalls(t, s, d)
+		case ActionRefuse:
+			assert.Less(t, s.Free+s.Pool+allFree(s.Holders), s.Least, "tokens are left for the request")
+		}
+	})
+}
+
+func checkRecalls(t *rapid.T, s State, d Decision) {
+	assert.NotEmpty(t, d.Recalls)
+	for i, r := range d.Recalls {
+		assert.Positive(t, r.Want)
+		assert.LessOrEqual(t, r.Want, free(r.Holding))
+		if i > 0 {
+			assert.LessOrEqual(t, free(r.Holding), free(d.Recalls[i-1].Holding))
+		}
+		before := allFree(s.Holders)
+		r.Returned(s.Holders, r.Want)
+		assert.Equal(t, before-r.Want, allFree(s.Holders))
+	}
+	assert.GreaterOrEqual(t, s.Free+s.Pool+total(d.Recalls), s.Least)
+}
+
+func allFree(holders []ledger.Holding) (n tokens.Count) {
+	for _, h := range holders {
+		n += free(h)
+	}
+	return n
+}
+
+func TestMeter(t *testing.T) {
+	var m Meter
+	for i := range 600 {
+		m.Reserve(testTime.Add(time.Duration(i)*time.Second), 100)
+	}
+	rate, mean := m.Rates(testTime.Add(600 * time.Second))
+	assert.InDelta(t, 100, rate, 15)
+	assert.InDelta(t, 100, mean, 5)
+	assert.EqualValues(t, 100, m.Request())
+	rate, _ = m.Rates(testTime.Add(700 * time.Second))
+	assert.Less(t, rate, 1.0)
+	m.Add(testTime, -1e9)
+	rate, _ = m.Rates(testTime)
+	assert.Zero(t, rate)
+}
+
+func TestGauge(t *testing.T) {
+	var g Gauge
+	for i := range 300 {
+		g.Observe(testTime.Add(time.Duration(i)*2*time.Second), tokens.Count(i)*100)
+		g.Observe(testTime.Add(time.Duration(i)*2*time.Second+1), tokens.Count(i)*100)
+	}
+	assert.InDelta(t, 50, g.Rate(), 1)
+}
+
+func TestKeepers(t *testing.T) {
+	var members []Member
+	for i := range 9 {
+		members = append(members, Member{Holder: ident.Incarnation(fmt.Sprint(i)), Domain: ident.FailureDomain(fmt.Sprint(i % 3))})
+	}
+	moved := 0
+	for i := range 300 {
+		id := ident.Budget(fmt.Sprint("budget", i))
+		all, fewer := Keepers(id, members), Keepers(id, members[:8])
+		assert.Len(t, all, 3)
+		assert.Equal(t, all["0"], fewer["0"])
+		if all["2"] != fewer["2"] {
+			moved++
+			assert.EqualValues(t, "8", all["2"], "only budgets of the member that left move")
+		}
+	}
+	assert.InDelta(t, 100, moved, 30)
+}
+
+func BenchmarkPlan(b *testing.B) {
+	exhausted := inUse()
+	exhausted.Free, exhausted.Needed, exhausted.Least, exhausted.Exhausted, exhausted.Pool = 0, 1000, 1000, true, 0
+	for i := range 9 {
+		exhausted.Holders = append(exhausted.Holders, ledger.Holding{Holder: ident.Incarnation(fmt.Sprint(i)), Granted: tokens.Count(200 * i)})
+	}
+	refill := inUse()
+	refill.Free = 0
+	for name, s := range map[string]State{"hold": inUse(), "refill": refill, "recall": exhausted} {
+		b.Run(name, func(b *testing.B) {
+			b.ReportAllocs()
+			p := caution()
+			for b.Loop() {
+				Plan(testTime, s, p)
+			}
+		})
+	}
+}
--- a/internal/share/sharetest/fault.go
+++ b/internal/share/sharetest/fault.go
@@ -54,6 +54,11 @@
 	case Restarted:
 		f.halts = []halt{{lasting(at(0.6), restartTime), 0}}
 		f.restart = true
+	case Failover:
+		f.cuts = []cut{{lasting(at(0.6), time.Minute), everyone}}
+		for i := range holderCount / domainCount {
+			f.halts = append(f.halts, halt{lasting(at(0.6), time.Minute), i * domainCount})
+		}
 	case Paused:
 		f.halts = []halt{{lasting(at(0.6), 2*time.Minute), 0}}
 	case Mixed:
--- a/internal/share/sharetest/holder.go
+++ b/internal/share/sharetest/holder.go
@@ -16,6 +16,7 @@
 	id       ident.Incarnation
 	meter    share.Meter
 	gauge    share.Gauge
+	kept     float64
 	granted  tokens.Count
 	reserved tokens.Count
 	withheld tokens.Count
--- a/internal/share/sharetest/run.go
+++ b/internal/share/sharetest/run.go
@@ -102,6 +102,9 @@
 }
 
 func (r *run) upkeep() {
+	if err := r.page.Check(); err != nil && r.result.Err == nil {
+		r.result.Err = err
+	}
 	for _, h := range r.holders {
 		if r.faults.halted(h.index, r.elapsed) {
 			r.reclaim(h)
@@ -205,9 +208,6 @@
 		return ledger.Result{Outcome: ledger.Applied}
 	}
 	result := r.page.Apply(op, r.now())
-	if err := r.page.Check(); err != nil && r.result.Err == nil {
-		r.result.Err = err
-	}
 	r.result.Overspend = max(r.result.Overspend, r.billed-r.prepaid, r.page.Budgets[budget].Settled-r.prepaid)
 	return result
 }
--- a/internal/share/sharetest/scenario.go
+++ b/internal/share/sharetest/scenario.go
@@ -29,6 +29,8 @@
 	Steady   Drawing = "steady"
 	Bursty   Drawing = "bursty"
 	OneLarge Drawing = "one large, many small"
+	// OneDomain is steady drawing on the holders of one failure domain.
+	OneDomain Drawing = "one domain"
 )
 
 // Fault is a kind of fault schedule.
@@ -43,6 +45,9 @@
 	Dead      Fault = "dead holder"
 	Restarted Fault = "restarted holder"
 	Paused    Fault = "paused holder"
+	// Failover is an outage during which the holders of one failure domain
+	// are halted, so that its callers change to another.
+	Failover Fault = "failover in outage"
 	// Mixed draws several faults of random times from the seed, with lost
 	// answers besides.
 	Mixed Fault = "mixed"
@@ -135,5 +140,8 @@
 	if s.Drawing == OneLarge && rng.Float64() < largeFraction {
 		return 0
 	}
+	if s.Drawing == OneDomain {
+		return domainCount * rng.IntN(holderCount/domainCount)
+	}
 	return rng.IntN(holderCount)
 }
--- a/internal/share/sharetest/strategy.go
+++ b/internal/share/sharetest/strategy.go
@@ -14,6 +14,7 @@
 	// lifetime is how long a holder may go on after its lease was last
 	// confirmed. Its share is reclaimed after that.
 	lifetime time.Duration
+	policy   share.Policy // of Shares
 	// reserve takes tokens for a request, maintain runs each second, settled
 	// after a bill.
 	reserve  func(h *holder, n tokens.Count) bool
@@ -30,12 +31,12 @@
 // Shares is the strategy of package share, with lean 0 for caution and 1 for
 // availability, and the given share lifetime.
 func Shares(lean float64, lifetime time.Duration) Strategy {
-	policy := share.Lean(lean, 0, lifetime, 0)
 	return Strategy{
 		Name:     "shares",
 		lifetime: lifetime,
-		reserve:  func(h *holder, n tokens.Count) bool { return h.reservePlanned(policy, n) },
-		maintain: func(h *holder) { h.maintainPlanned(policy) },
+		policy:   share.Lean(lean, 0, lifetime, 0),
+		reserve:  (*holder).reservePlanned,
+		maintain: (*holder).maintainPlanned,
 		settled:  func(*holder, *job) {},
 	}
 }
@@ -98,7 +99,7 @@
 	s := share.State{
 		Free: h.free(), Reserved: h.reserved, Needed: needed, Least: needed,
 		Request: h.meter.Request(), Used: h.used, Pool: h.pool, Live: holderCount,
-		Exhausted: h.exhausted, Holders: h.holders, Round: h.round, FleetRate: h.gauge.Rate(),
+		Exhausted: h.exhausted, Holders: h.holders, Round: h.round, FleetRate: h.gauge.Rate(), Kept: h.kept,
 	}
 	s.Rate, s.Mean = h.meter.Rates(h.run.now())
 	return s
@@ -106,7 +107,8 @@
 
 const maxSteps = 12 // of draws and recalls for one request
 
-func (h *holder) reservePlanned(p share.Policy, n tokens.Count) bool {
+func (h *holder) reservePlanned(n tokens.Count) bool {
+	p := h.run.strategy.policy
 	h.announce(p)
 	h.exhausted, h.round = false, 0
 	for range maxSteps {
@@ -157,18 +159,20 @@
 		k := h.run.find(ledger.Holding{Holder: keeper})
 		if domain != h.run.members[h.index].Domain && !k.halted {
 			k.used = h.run.now()
+			_, mean := h.meter.Rates(h.run.now())
+			k.kept = max(mean, h.gauge.Rate())
 			k.meter.Expect(h.meter.Request())
 		}
 	}
 }
 
-func (h *holder) maintainPlanned(p share.Policy) {
+func (h *holder) maintainPlanned() {
 	if h.pending != nil {
 		if _, ok := h.send(); !ok {
 			return
 		}
 	}
-	switch d := share.Plan(h.run.now(), h.state(0), p); d.Action {
+	switch d := share.Plan(h.run.now(), h.state(0), h.run.strategy.policy); d.Action {
 	case share.ActionDraw:
 		h.draw(d.Want, d.Least)
 	case share.ActionReturn:
--- a/internal/wallet/account.go
+++ b/internal/wallet/account.go
@@ -16,6 +16,7 @@
 	funding ledger.Funding
 	meter   share.Meter
 	gauge   share.Gauge // of all holders
+	kept    float64     // share.State.Kept
 
 	// granted is at most what the ledger has granted. reserved and withheld
 	// are parts of it: for requests, and on the way back to the budget.
@@ -176,6 +177,7 @@
 		Free:      a.free(),
 		Reserved:  a.reserved,
 		FleetRate: a.gauge.Rate(),
+		Kept:      a.kept,
 		Request:   a.meter.Request(),
 		Used:      a.used,
 		Pool:      a.pool,
@@ -193,6 +195,17 @@
 	return s
 }
 
+// notice tells the keepers that the budget is in use.
+func (a *account) notice(now time.Time) *Notice {
+	_, mean := a.meter.Rates(now)
+	return &Notice{
+		Budget:  a.budget,
+		Funding: a.funding,
+		Request: a.meter.Request(),
+		Rate:    max(mean, a.gauge.Rate()),
+	}
+}
+
 // prepare makes op the pending one. Tokens on their way back are withheld
 // before the op is sent.
 func (a *account) prepare(op ledger.Op) {
--- a/internal/wallet/fake_test.go
+++ b/internal/wallet/fake_test.go
@@ -34,6 +34,7 @@
 	ops   []ledger.Op
 	fault func(op ledger.Op) fault
 	gate  chan struct{}
+	delay bool  // ops take a millisecond
 	done  error // of the last check of the page
 }
 
@@ -41,6 +42,9 @@
 	if l.gate != nil {
 		<-l.gate
 	}
+	if l.delay {
+		time.Sleep(time.Millisecond)
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.ops = append(l.ops, op)
--- a/internal/wallet/maintain.go
+++ b/internal/wallet/maintain.go
@@ -119,6 +119,7 @@
 		kept = accounts[n.Budget] == nil
 		a := open(accounts, n.Budget, n.Funding)
 		a.used = now
+		a.kept = n.Rate
 		a.meter.Expect(n.Request)
 	})
 	if kept {
--- a/internal/wallet/reservation.go
+++ b/internal/wallet/reservation.go
@@ -65,7 +65,7 @@
 		a.meter.Reserve(now, res.tokens)
 		if w.Announce != nil && policy.SpreadDomains && now.Sub(a.announced) >= policy.IdleLimit/announceDivisor {
 			a.announced = now
-			notice = &Notice{Budget: r.Budget, Funding: a.funding, Request: a.meter.Request()}
+			notice = a.notice(now)
 		}
 		if (len(a.queue) == 0 || a.stalled) && a.take(res.tokens) {
 			res.epoch = a.epoch
--- a/internal/wallet/wallet.go
+++ b/internal/wallet/wallet.go
@@ -93,6 +93,9 @@
 	Funding ledger.Funding `json:"funding"`
 	// Request is the usual size of a reservation.
 	Request tokens.Count `json:"request"`
+	// Rate is the rate at which the fleet spends the budget, in tokens per
+	// second.
+	Rate float64 `json:"rate"`
 }
 
 // Request asks for a reservation.
