Decode the chunks of a stream by their difference from the last one

Cause: encoding/json took most of the time of a streamed token. Change: ChunkDecoder keeps what stands around the text of the last chunk and decodes in full only where that differs.

--- a/internal/engineclient/client_test.go
+++ b/internal/engineclient/client_test.go
@@ -51,6 +51,10 @@
 	return &bench{engine: e, client: c, upstream: configuration.Upstream{ID: "e1", Address: e.Address()}, log: log}
 }
 
+func contextWithTimeout(t *testing.T) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(t.Context(), 2*silenceLimit)
+}
+
 func chat(prompt string, maxTokens int) []byte {
 	body, _ := json.Marshal(struct {
 		Model     string           `json:"model"`
--- /dev/null
+++ b/internal/engineclient/race_test.go
@@ -0,0 +1,110 @@
+package engineclient_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"example.org/lagoonfork/internal/engineclient"
+	fake "example.org/lagoonfork/internal/fake/engine"
+	"example.org/lagoonfork/pkg/configuration"
+)
+
+// TestEachCallerGetsItsOwnAnswer runs many callers while faults come and go,
+// and connections are muted, at random. Every answer is whole and the caller's
+// own, or ends with an error; what was delivered before is the beginning of
+// the caller's own answer.
+func TestEachCallerGetsItsOwnAnswer(t *testing.T) {
+	const callers, runsEach = 16, 8
+	seed := rand.Uint64()
+	t.Logf("seed %d", seed)
+	b := newBench(t, fake.Settings{Slots: callers, TokenPace: 500 * time.Microsecond})
+	stop := make(chan struct{})
+	var faults, work sync.WaitGroup
+	faults.Go(func() { injectFaults(b.engine, rand.New(rand.NewPCG(seed, 1)), stop) })
+	var mu sync.Mutex
+	whole := 0
+	for caller := range callers {
+		work.Go(func() {
+			for i := range runsEach {
+				name := fmt.Sprintf("%d-%d", caller, i)
+				prompt := fake.WithLength("caller "+name, 30)
+				a := b.run(t, runOf(name, prompt, 64))
+				if a.err == nil {
+					assertWhole(t, a, prompt, 64)
+					mu.Lock()
+					whole++
+					mu.Unlock()
+					continue
+				}
+				expected := fake.ExpectedAnswer(prompt, 64)
+				assert.Equal(t, expected[:len(a.text)], a.text)
+			}
+		})
+	}
+	work.Wait()
+	close(stop)
+	faults.Wait()
+	t.Logf("%d of %d answers were whole", whole, callers*runsEach)
+	assert.Positive(t, whole)
+}
+
+func injectFaults(e *fake.Engine, random *rand.Rand, stop <-chan struct{}) {
+	all := []fake.Faults{
+		{}, {SilentAfter: 5}, {ResetAt: 9}, {CutAt: 3}, {RepeatAt: 12}, {SkipAt: 2}, {LateAt: 20},
+		{WithoutDone: true}, {CrossedAt: 15}, {CrossedHeader: true}, {NotRun: true}, {SilentAtStart: true},
+	}
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(10 * time.Millisecond):
+		}
+		e.SetFaults(all[random.IntN(len(all))])
+		if random.IntN(20) == 0 {
+			e.Mute()
+		}
+	}
+}
+
+// TestCloseLeavesNothingBehind opens streams in every state, closes the client
+// and waits for the number of goroutines to come back.
+func TestCloseLeavesNothingBehind(t *testing.T) {
+	e, err := fake.New(fake.Settings{Slots: 100, TokenPace: time.Hour})
+	require.NoError(t, err)
+	up := configuration.Upstream{ID: "e1", Address: e.Address()}
+	before := runtime.NumGoroutine()
+	c := engineclient.New(engineclient.Settings{
+		SilenceLimit: func() time.Duration { return silenceLimit },
+		Log:          hclog.NewNullLogger(),
+	})
+	var waiting sync.WaitGroup
+	for i := range 20 {
+		s, err := c.Start(t.Context(), up, runOf(fmt.Sprint(i), "p", 10))
+		require.NoError(t, err)
+		switch i % 4 {
+		case 0: // left open
+		case 1:
+			require.NoError(t, s.Close())
+		case 2:
+			waiting.Go(func() { read(t, s) })
+		case 3:
+			_, err := s.Next(t.Context())
+			require.NoError(t, err)
+		}
+	}
+	_, err = c.Load(t.Context(), up)
+	require.NoError(t, err)
+	require.NoError(t, c.Close())
+	waiting.Wait()
+	require.NoError(t, e.Close())
+	assert.Eventually(t, func() bool { return runtime.NumGoroutine() <= before }, 30*time.Second, 10*time.Millisecond,
+		"goroutines before and after: %d, %d", before, runtime.NumGoroutine())
+}
--- a/internal/engineclient/stream.go
+++ b/internal/engineclient/stream.go
@@ -49,7 +49,7 @@
 
 	resumptions silence.Resumptions
 	reader      *eventstream.Reader
-	chunk       engine.Chunk
+	decoder     engine.ChunkDecoder
 	received    int           // tokens
 	finish      string        // as the current connection gave it
 	usage       *engine.Usage // as the current connection gave it
@@ -152,23 +152,24 @@
 // decode decodes an event and checks that it belongs to the attempt and comes
 // in order. It keeps the reason to finish and the usage for the end.
 func (s *Stream) decode(raw eventstream.Event) (engine.Event, error) {
-	if err := engine.DecodeChunk(raw.Data, &s.chunk); err != nil {
+	chunk, err := s.decoder.Decode(raw.Data)
+	if err != nil {
 		return engine.Event{}, err
 	}
-	if s.chunk.ID != string(s.run.Attempt) {
-		return engine.Event{}, crossed("chunk", s.chunk.ID)
+	if chunk.ID != string(s.run.Attempt) {
+		return engine.Event{}, crossed("chunk", chunk.ID)
 	}
 	e := engine.Event{Raw: raw.Data}
 	finished := s.finish != ""
-	if len(s.chunk.Choices) > 0 {
-		choice := &s.chunk.Choices[0]
+	if len(chunk.Choices) > 0 {
+		choice := &chunk.Choices[0]
 		e.Text = choice.Delta.Content
 		if choice.FinishReason != nil {
 			s.finish = *choice.FinishReason
 		}
 	}
-	if s.chunk.Usage != nil {
-		s.usage = s.chunk.Usage
+	if chunk.Usage != nil {
+		s.usage = chunk.Usage
 	}
 	index, err := s.index(raw.ID, e.Text)
 	if index > 0 && finished {
