--- a/internal/document/ask.go
+++ b/internal/document/ask.go
@@ -85,13 +85,17 @@
 		if len(d.problems) == 0 {
 			return nil
 		}
-		fmt.Fprintln(a.w, d.problems.Error())
+		if _, err := fmt.Fprintln(a.w, d.problems.Error()); err != nil {
+			return err
+		}
 		v.SetZero()
 	}
 }
 
 func (a *asker) line(format string, args ...any) (string, error) {
-	fmt.Fprintf(a.w, format, args...)
+	if _, err := fmt.Fprintf(a.w, format, args...); err != nil {
+		return "", err
+	}
 	if !a.lines.Scan() {
 		if err := a.lines.Err(); err != nil {
 			return "", err
--- a/internal/document/field.go
+++ b/internal/document/field.go
@@ -49,6 +49,9 @@
 		return []Field{described}
 	}
 	described.IsNested = true
+	if described.Default == "required" && !strings.HasSuffix(path, "[]") {
+		described.Default = "optional" // an absent object is one without members
+	}
 	return append([]Field{described}, listFields(t, path)...)
 }
 
--- a/internal/operator/answers.go
+++ b/internal/operator/answers.go
@@ -212,7 +212,7 @@
 		states, err := f.vms(ctx)
 		if err == nil {
 			vms, lagging = divide(states, receipt.Revision)
-			fmt.Fprintf(c.Errors, "revision %d is in force on %d of %d VMs\n", receipt.Revision, len(vms)-len(lagging), len(vms))
+			c.report("revision %d is in force on %d of %d VMs\n", receipt.Revision, len(vms)-len(lagging), len(vms))
 			if len(lagging) == 0 {
 				break
 			}
@@ -254,9 +254,9 @@
 	for _, l := range lagging {
 		rows = append(rows, []string{string(l.VM), fmt.Sprint(l.Revision), l.Problem})
 	}
-	fmt.Fprintf(c.Output, "revision %d in force on %d of %d VMs\n", receipt.Revision, len(vms)-len(lagging), len(vms))
-	if len(rows) == 0 {
-		return nil
+	_, err := fmt.Fprintf(c.Output, "revision %d in force on %d of %d VMs\n", receipt.Revision, len(vms)-len(lagging), len(vms))
+	if err != nil || len(rows) == 0 {
+		return err
 	}
 	return printTable(c.Output, []string{"LAGGING VM", "REVISION", "PROBLEM"}, rows)
 }
--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -216,7 +216,9 @@
 	if err := printTable(c.Output, header, rows); err != nil || len(fromVMs) == 0 {
 		return err
 	}
-	fmt.Fprintln(c.Output)
+	if _, err := fmt.Fprintln(c.Output); err != nil {
+		return err
+	}
 	return printValue(c.Output, fromVMs)
 }
 
@@ -238,7 +240,7 @@
 		}
 		if a.err != nil {
 			failed++
-			fmt.Fprintln(c.Errors, a.err)
+			c.report("%v\n", a.err)
 			continue
 		}
 		list = append(list, flatten(a.record.VM, value)...)
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -22,6 +22,7 @@
 	"context"
 	"crypto/rand"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"os"
@@ -168,6 +169,11 @@
 	})
 }
 
+// report prints progress. Losing it does not fail a command.
+func (c *command) report(format string, args ...any) {
+	_, _ = fmt.Fprintf(c.Errors, format, args...)
+}
+
 // readFile reads a file named on the command line.
 func readFile(name string) ([]byte, error) {
 	data, err := os.ReadFile(name)
--- a/pkg/answers/check.go
+++ b/pkg/answers/check.go
@@ -154,9 +154,6 @@
 }
 
 func (r Rule) check(problems Problems, known *registry, path string) Problems {
-	if len(r.Services) == 0 {
-		problems = problems.Add(path+".services", "is missing: the rule lets nothing be reached")
-	}
 	problems = references(problems, path+".customers", "customer", r.Customers, known.customers)
 	problems = references(problems, path+".applications", "application", r.Applications, known.applications)
 	return references(problems, path+".services", "service", r.Services, known.services)
--- a/pkg/answers/document.go
+++ b/pkg/answers/document.go
@@ -27,7 +27,7 @@
 
 // Blank returns answers with the default policy and nothing else.
 func Blank() (a Answers) {
-	document.Decode([]byte("{}"), &a)
+	_ = document.Decode([]byte("{}"), &a) // every field of the policy has a default
 	return a
 }
 
