--- a/internal/operator/answers.go
+++ b/internal/operator/answers.go
@@ -161,10 +161,30 @@
 		if err != nil {
 			return c.explainApply(err, id)
 		}
-		return c.awaitInForce(ctx, f, receipt)
+		if err := c.awaitInForce(ctx, f, receipt); err != nil {
+			return err
+		}
+		c.sweep(ctx, f, receipt)
+		return nil
 	})
 }
 
+// sweepInterval is the number of revisions between two removals of old parts.
+const sweepInterval = 25
+
+// sweep removes old parts now and then. A failure leaves that to a later call.
+func (c *command) sweep(ctx context.Context, f *fleet, receipt publication.Receipt) {
+	if receipt.Revision%sweepInterval != 0 {
+		return
+	}
+	removed, err := f.publisher.Sweep(ctx)
+	if err != nil {
+		c.report("old parts were not removed: %v\n", err)
+		return
+	}
+	c.report("removed %d old parts\n", removed)
+}
+
 // apply puts a change in force, merging it with others if that is asked for.
 func (f *fleet) apply(ctx context.Context, change publication.Change, merge bool) (publication.Receipt, error) {
 	for {
@@ -212,7 +232,7 @@
 		states, err := f.vms(ctx)
 		if err == nil {
 			vms, lagging = divide(states, receipt.Revision)
-			fmt.Fprintf(c.Errors, "revision %d is in force on %d of %d VMs\n", receipt.Revision, len(vms)-len(lagging), len(vms))
+			c.report("revision %d is in force on %d of %d VMs\n", receipt.Revision, len(vms)-len(lagging), len(vms))
 			if len(lagging) == 0 {
 				break
 			}
@@ -254,9 +274,9 @@
 	for _, l := range lagging {
 		rows = append(rows, []string{string(l.VM), fmt.Sprint(l.Revision), l.Problem})
 	}
-	fmt.Fprintf(c.Output, "revision %d in force on %d of %d VMs\n", receipt.Revision, len(vms)-len(lagging), len(vms))
-	if len(rows) == 0 {
-		return nil
+	_, err := fmt.Fprintf(c.Output, "revision %d in force on %d of %d VMs\n", receipt.Revision, len(vms)-len(lagging), len(vms))
+	if err != nil || len(rows) == 0 {
+		return err
 	}
 	return printTable(c.Output, []string{"LAGGING VM", "REVISION", "PROBLEM"}, rows)
 }
--- a/internal/publication/publication_test.go
+++ b/internal/publication/publication_test.go
@@ -215,20 +215,29 @@
 		assert.Positive(t, swept)
 		check(t, p)
 	})
-	t.Run("between list and delete", func(t *testing.T) {
-		service, p, old := setUp(t)
-		applied := false
-		sweeper := publication.New(hooked{Store: service.Client(), before: func(key string) {
-			if key[:6] == "delete" && !applied {
-				applied = true
-				apply(t, p, "again", old)
-			}
-		}}, publication.Settings{Keep: 1})
-		_, err := sweeper.Sweep(t.Context())
-		require.NoError(t, err)
-		assert.True(t, applied)
-		check(t, p)
-	})
+	for name, faults := range map[string]keyvalue.Faults{
+		"between list and delete":                         {},
+		"between list and delete, first writes lost":      {LoseWrites: 3},
+		"between list and delete, answers of writes lost": {LoseAnswers: 4},
+	} {
+		t.Run(name, func(t *testing.T) {
+			service, p, old := setUp(t)
+			client := service.Client()
+			client.SetFaults(faults)
+			writer := publication.New(client, publication.Settings{})
+			applied := false
+			sweeper := publication.New(hooked{Store: service.Client(), before: func(key string) {
+				if key[:6] == "delete" && !applied {
+					applied = true
+					apply(t, writer, "again", old)
+				}
+			}}, publication.Settings{Keep: 1})
+			_, err := sweeper.Sweep(t.Context())
+			require.NoError(t, err)
+			assert.True(t, applied)
+			check(t, p)
+		})
+	}
 }
 
 func TestSweepKeepsTheWindow(t *testing.T) {
@@ -388,7 +397,7 @@
 
 // change puts a fleet in force, changes one budget and returns the bytes
 // written, the bytes that each router reads, and the largest value.
-func change(t testing.TB, customers int) (written, read, largest, budgets int) {
+func change(t testing.TB, customers int) (written, read, largest, calls int) {
 	service := keyvalue.New(keyvalue.Settings{})
 	client := service.Client()
 	p := publication.New(client, publication.Settings{})
@@ -397,7 +406,9 @@
 	before, err := p.InForce(t.Context())
 	require.NoError(t, err)
 	a.Revision, a.Customers[customers/2].Budgets[100].Prepaid = 1, 77
+	counts := service.Counts()
 	written = apply(t, p, "second", a).BytesWritten
+	calls = int(service.Counts().Reads - counts.Reads)
 	after, err := p.InForce(t.Context())
 	require.NoError(t, err)
 	held := make(map[manifest.Digest]bool)
@@ -419,7 +430,7 @@
 	for _, e := range entries {
 		largest = max(largest, len(e.Value))
 	}
-	return written, read, largest, len(after.Configuration.Budgets)
+	return written, read, largest, calls
 }
 
 // TestBytesPerChangeGrowWithTheSquareRoot compares sizes a factor of ten
@@ -445,7 +456,8 @@
 	for _, customers := range sizes {
 		b.Run(fmt.Sprintf("budgets=%d", customers*232), func(b *testing.B) {
 			for b.Loop() {
-				written, read, largest, _ := change(b, customers)
+				written, read, largest, calls := change(b, customers)
+				b.ReportMetric(float64(calls), "store-reads/change")
 				b.ReportMetric(float64(written), "written-B/change")
 				b.ReportMetric(float64(read), "read-B/VM/change")
 				b.ReportMetric(float64(largest), "largest-B")
