Wire the command line and the limits of a router

Cause: operators and VMs need the program, not its packages. Change: router and operators' commands in cmd/lagoonfork; limits on requests in progress, connections and slow readers.

--- a/cmd/lagoonfork/embedded.go
+++ b/cmd/lagoonfork/embedded.go
@@ -148,4 +148,3 @@
 		Output:     os.Stderr,
 	})
 }
-
--- a/cmd/lagoonfork/main.go
+++ b/cmd/lagoonfork/main.go
@@ -9,14 +9,14 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/alecthomas/kingpin/v2"
-)
 
-// Exit codes.
-const (
-	exitFailed = 1
-	exitUsage  = 2
+	"example.org/lagoonfork/internal/etcd"
+	"example.org/lagoonfork/internal/operator"
+	"example.org/lagoonfork/internal/settings"
+	"example.org/lagoonfork/pkg/store"
 )
 
 // usageError is an error in the command line or in a file that it names.
@@ -32,16 +32,31 @@
 	defer stop()
 	registerRouter(ctx, app)
 	registerEmbedded(ctx, app)
+	operator.Register(app, operator.Environment{
+		Context: ctx,
+		Input:   os.Stdin,
+		Output:  os.Stdout,
+		Errors:  os.Stderr,
+		Open:    openStore,
+		Clock:   time.Now,
+	})
 	if _, err := app.Parse(os.Args[1:]); err != nil {
 		fmt.Fprintln(os.Stderr, "lagoonfork:", err)
 		os.Exit(exitCode(err))
 	}
 }
 
+func openStore(s settings.Operator) (store.Store, error) {
+	return etcd.New(etcd.Settings{
+		Addresses: storeURLs(s.Store),
+		Timeout:   time.Duration(s.StoreTimeoutMillis) * time.Millisecond,
+	})
+}
+
 func exitCode(err error) int {
 	var usage usageError
 	if errors.As(err, &usage) {
-		return exitUsage
+		return operator.ExitUsage
 	}
-	return exitFailed
+	return operator.ExitCode(err)
 }
--- a/cmd/lagoonfork/router.go
+++ b/cmd/lagoonfork/router.go
@@ -2,8 +2,104 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
+	"os"
+	"time"
 
 	"github.com/alecthomas/kingpin/v2"
+	"github.com/ansel1/merry/v2"
+
+	"example.org/lagoonfork/internal/etcd"
+	"example.org/lagoonfork/internal/router"
+	"example.org/lagoonfork/internal/settings"
+	"example.org/lagoonfork/internal/vmlist"
 )
 
-func registerRouter(ctx context.Context, app *kingpin.Application) {}
+// errYounger reports that another process of the VM has taken this one's place.
+var errYounger = errors.New("the VM has a younger router")
+
+func registerRouter(ctx context.Context, app *kingpin.Application) {
+	cmd := app.Command("router", "Run the router of one entry VM until SIGTERM.")
+	file := cmd.Flag("settings", "File with the settings, in JSON.").Required().String()
+	cmd.Action(func(*kingpin.ParseContext) error { return runRouter(ctx, *file) })
+}
+
+// runRouter serves until ctx ends, and drains.
+func runRouter(ctx context.Context, file string) (err error) {
+	s, err := readSettings(file)
+	if err != nil {
+		return usageError{err}
+	}
+	client, err := etcd.New(etcd.Settings{
+		Addresses: storeURLs(s.Store),
+		Timeout:   time.Duration(s.Limits.StoreTimeoutMillis) * time.Millisecond,
+	})
+	if err != nil {
+		return usageError{err}
+	}
+	vms := vmlist.NewClient(vmlist.Settings{URL: "http://" + s.VMList.String()})
+	r, err := router.Start(ctx, routerSettings(s, client, vms))
+	if err != nil {
+		return err
+	}
+	select {
+	case <-ctx.Done():
+	case <-r.Done():
+		err = errYounger
+	}
+	drain, cancel := context.WithTimeout(context.Background(), time.Duration(s.Limits.DrainTimeoutSeconds)*time.Second)
+	defer cancel()
+	return errors.Join(err, r.Close(drain))
+}
+
+func readSettings(file string) (s settings.Settings, err error) {
+	defer func() { err = merry.Prependf(err, "settings %s", file) }()
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return s, err
+	}
+	return settings.Decode(data)
+}
+
+func routerSettings(s settings.Settings, client *etcd.Client, vms *vmlist.Client) router.Settings {
+	l := s.Limits
+	return router.Settings{
+		VM:            s.VM,
+		Incarnation:   s.Incarnation,
+		FailureDomain: s.FailureDomain,
+		Region:        s.Region,
+		CallerAddress: s.CallerAddress,
+		PeerAddress:   s.PeerAddress,
+		Secret:        string(s.PeerSecret),
+		Store:         client,
+		VMs:           vms,
+		Limits: router.Limits{
+			MaxBody:        int64(l.MaxBodyBytes),
+			MaxHeader:      l.MaxHeaderBytes,
+			MaxStreams:     l.MaxStreams,
+			MaxConnections: l.MaxConnections,
+			ReadTimeout:    time.Duration(l.ReadTimeoutMillis) * time.Millisecond,
+			WriteTimeout:   time.Duration(l.WriteTimeoutMillis) * time.Millisecond,
+			IdleTimeout:    time.Duration(l.IdleTimeoutMillis) * time.Millisecond,
+			StoreTimeout:   time.Duration(l.StoreTimeoutMillis) * time.Millisecond,
+			PeerTimeout:    time.Duration(l.PeerTimeoutMillis) * time.Millisecond,
+		},
+		Timing: router.Timing{DrainDelay: drainDelay},
+		Clock:  time.Now,
+		Log:    newLogger(s.Log.Level, s.Log.Form == "json").With("vm", s.VM),
+	}
+}
+
+// drainDelay is how long a stopping router still takes new requests, until the
+// platform's balancer has seen that it is not ready.
+const drainDelay = 3 * time.Second
+
+// storeURLs returns the base URLs of the key-value service's gateways.
+func storeURLs[T fmt.Stringer](addresses []T) []string {
+	urls := make([]string, len(addresses))
+	for i, a := range addresses {
+		urls[i] = "http://" + a.String()
+	}
+	return urls
+}
--- a/internal/callerapi/callerapi.go
+++ b/internal/callerapi/callerapi.go
@@ -26,6 +26,7 @@
 	"github.com/hashicorp/go-hclog"
 	"goji.io"
 	"goji.io/pat"
+	"golang.org/x/sync/semaphore"
 
 	"example.org/lagoonfork/internal/dispatch"
 	"example.org/lagoonfork/internal/refusal"
@@ -58,24 +59,30 @@
 	Index   func() *configuration.Index
 	Ready   func() bool
 	MaxBody int64 // in bytes
-	Clock   func() time.Time
-	Log     hclog.Logger
+	// MaxRequests bounds the requests in progress.
+	MaxRequests int
+	// WriteTimeout bounds the time that a caller takes to accept a part of a
+	// response.
+	WriteTimeout time.Duration
+	Clock        func() time.Time
+	Log          hclog.Logger
 }
 
 // Handler is the endpoint.
 type Handler struct {
 	Settings
-	mux *goji.Mux
+	mux  *goji.Mux
+	free *semaphore.Weighted
 }
 
 // New returns the endpoint.
 func New(s Settings) *Handler {
-	h := &Handler{Settings: s, mux: goji.NewMux()}
+	h := &Handler{Settings: s, mux: goji.NewMux(), free: semaphore.NewWeighted(int64(s.MaxRequests))}
 	h.mux.HandleFunc(pat.Get("/healthz"), h.health)
 	h.mux.HandleFunc(pat.Get("/readyz"), h.ready)
 	h.mux.HandleFunc(pat.Get("/v1/models"), h.models)
-	h.mux.HandleFunc(pat.Post("/v1/chat/completions"), h.chat)
-	h.mux.HandleFunc(pat.New("/services/:service/*"), h.plain)
+	h.mux.HandleFunc(pat.Post("/v1/chat/completions"), h.bounded(h.chat))
+	h.mux.HandleFunc(pat.New("/services/:service/*"), h.bounded(h.plain))
 	h.mux.HandleFunc(pat.New("/*"), h.unknown)
 	return h
 }
@@ -85,6 +92,18 @@
 	h.mux.ServeHTTP(w, r)
 }
 
+// bounded serves a request unless too many are in progress.
+func (h *Handler) bounded(serve http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if !h.free.TryAcquire(1) {
+			refusal.New(refusal.Overloaded, "the router has too many requests in progress").After(time.Second).Write(w, "")
+			return
+		}
+		defer h.free.Release(1)
+		serve(w, r)
+	}
+}
+
 func (h *Handler) health(w http.ResponseWriter, _ *http.Request) {
 	writeJSON(w, http.StatusOK, struct {
 		Healthy bool `json:"healthy"`
@@ -234,6 +253,13 @@
 	return s, nil
 }
 
+// limitWrite gives the caller the write timeout for the next part of the
+// response.
+func (h *Handler) limitWrite(w http.ResponseWriter) {
+	deadline := h.Clock().Add(h.WriteTimeout)
+	_ = http.NewResponseController(w).SetWriteDeadline(deadline) // supported by net/http
+}
+
 // late returns the refusal of a caller whose deadline passed or who left.
 func late(request *dispatch.Request) *refusal.Refusal {
 	message := "the deadline has passed"
--- a/internal/callerapi/chat.go
+++ b/internal/callerapi/chat.go
@@ -31,7 +31,7 @@
 	defer s.Leave()
 	ctx, cancel := context.WithDeadline(r.Context(), request.Deadline)
 	defer cancel()
-	d := delivery{request: request, model: p.model, created: h.Clock().Unix(), usage: p.usage}
+	d := delivery{request: request, model: p.model, created: h.Clock().Unix(), usage: p.usage, handler: h}
 	if p.stream {
 		d.stream(ctx, w, s)
 		return
@@ -80,6 +80,7 @@
 
 // delivery gives an answer to a caller in the OpenAI format.
 type delivery struct {
+	handler *Handler
 	request *dispatch.Request
 	model   ident.Model
 	created int64
@@ -112,6 +113,7 @@
 		return
 	}
 	setCost(w, end)
+	d.handler.limitWrite(w)
 	writeJSON(w, http.StatusOK, engine.Completion{
 		ID:      string(end.Attempt),
 		Object:  "chat.completion",
@@ -128,7 +130,7 @@
 // stream sends the pieces of the answer as they come, and its end once it is
 // billed. An answer that breaks off ends without the closing event.
 func (d *delivery) stream(ctx context.Context, w http.ResponseWriter, s *dispatch.Submission) {
-	out := newEventWriter(w)
+	out := newEventWriter(w, d.handler)
 	for read := 0; ; {
 		pieces, end, err := s.Answer.Read(ctx, read)
 		if err != nil {
@@ -186,11 +188,12 @@
 type eventWriter struct {
 	w       http.ResponseWriter
 	control *http.ResponseController
+	handler *Handler
 	begun   bool
 }
 
-func newEventWriter(w http.ResponseWriter) *eventWriter {
-	return &eventWriter{w: w, control: http.NewResponseController(w)}
+func newEventWriter(w http.ResponseWriter, h *Handler) *eventWriter {
+	return &eventWriter{w: w, control: http.NewResponseController(w), handler: h}
 }
 
 func (e *eventWriter) begin() {
@@ -213,6 +216,7 @@
 
 func (e *eventWriter) data(data []byte) {
 	e.begin()
+	e.handler.limitWrite(e.w)
 	_, _ = e.w.Write(append(append([]byte("data: "), data...), '\n', '\n')) // the caller may have gone
 }
 
--- a/internal/callerapi/plain.go
+++ b/internal/callerapi/plain.go
@@ -40,6 +40,7 @@
 	case end.Refusal != nil:
 		end.Refusal.Write(w, request.ID)
 	default:
+		h.limitWrite(w)
 		deliver(w, end)
 	}
 }
--- a/internal/peerclient/configuration.go
+++ b/internal/peerclient/configuration.go
@@ -24,7 +24,7 @@
 		return m, dispatch.ErrUnreachable
 	}
 	path := fmt.Sprintf("%s?above=%d", PathHead, above)
-	return call[manifest.Manifest](ctx, c, HeadWait+callTimeout, http.MethodGet, address, path, nil)
+	return call[manifest.Manifest](ctx, c, HeadWait+c.settings.Timeout, http.MethodGet, address, path, nil)
 }
 
 // Part returns the content of a part that the peer holds.
@@ -34,7 +34,7 @@
 	if !ok {
 		return nil, dispatch.ErrUnreachable
 	}
-	part, err := call[json.RawMessage](ctx, c, callTimeout, http.MethodGet, address, PathParts+string(digest), nil)
+	part, err := call[json.RawMessage](ctx, c, c.settings.Timeout, http.MethodGet, address, PathParts+string(digest), nil)
 	return part, err
 }
 
--- a/internal/peerclient/peerclient.go
+++ b/internal/peerclient/peerclient.go
@@ -52,8 +52,6 @@
 )
 
 const (
-	// callTimeout bounds a call that is answered at once.
-	callTimeout = 2 * time.Second
 	// AnswerWait is how long one call waits for the end of an answer.
 	AnswerWait = 5 * time.Second
 	// HeadWait is how long one call waits for a new configuration.
@@ -84,6 +82,7 @@
 	Self    ident.Incarnation
 	Domain  ident.FailureDomain
 	Secret  string
+	Timeout time.Duration // of a call that is answered at once
 	Clock   func() time.Time
 }
 
@@ -119,7 +118,7 @@
 	}
 	path := PathAnswers + "?" + url.Values{"key": {string(key)}}.Encode()
 	for {
-		held, err = call[dispatch.Held](ctx, c, AnswerWait+callTimeout, http.MethodGet, address, path, nil)
+		held, err = call[dispatch.Held](ctx, c, AnswerWait+c.settings.Timeout, http.MethodGet, address, path, nil)
 		if !errors.Is(err, errNotYet) {
 			return held, err
 		}
@@ -136,7 +135,7 @@
 	var g errgroup.Group
 	for _, m := range members {
 		g.Go(func() error {
-			_, err := call[struct{}](ctx, c, callTimeout, http.MethodPost, m.Address, PathRecords, ops)
+			_, err := call[struct{}](ctx, c, c.settings.Timeout, http.MethodPost, m.Address, PathRecords, ops)
 			return err
 		})
 	}
@@ -156,7 +155,7 @@
 	}{budget, want}
 	response, err := call[struct {
 		Returned tokens.Count `json:"returned"`
-	}](ctx, c, callTimeout, http.MethodPost, address, PathRecall, request)
+	}](ctx, c, c.settings.Timeout, http.MethodPost, address, PathRecall, request)
 	return response.Returned, err
 }
 
@@ -167,7 +166,7 @@
 	if !ok {
 		return dispatch.ErrUnreachable
 	}
-	_, err = call[struct{}](ctx, c, callTimeout, http.MethodPost, address, PathKeep, notice)
+	_, err = call[struct{}](ctx, c, c.settings.Timeout, http.MethodPost, address, PathKeep, notice)
 	return err
 }
 
@@ -180,7 +179,7 @@
 		return nil, dispatch.ErrUnreachable
 	}
 	path := fmt.Sprint(PathLedger, page)
-	results, err = call[[]ledger.Result](ctx, c, callTimeout, http.MethodPost, owner.Address, path, ops)
+	results, err = call[[]ledger.Result](ctx, c, c.settings.Timeout, http.MethodPost, owner.Address, path, ops)
 	if err == nil && len(results) != len(ops) {
 		return nil, fmt.Errorf("%d results for %d ops", len(results), len(ops))
 	}
@@ -190,7 +189,7 @@
 // Status asks whether a peer answers.
 func (c *Client) Status(ctx context.Context, address netip.AddrPort) (status Status, err error) {
 	defer func() { err = merry.Prependf(err, "asking %s for its status", address) }()
-	return call[Status](ctx, c, callTimeout, http.MethodGet, address, PathStatus, nil)
+	return call[Status](ctx, c, c.settings.Timeout, http.MethodGet, address, PathStatus, nil)
 }
 
 // Status is what a router says of itself.
@@ -205,7 +204,7 @@
 // Get returns the body of a peer's response to a GET of path.
 func (c *Client) Get(ctx context.Context, address netip.AddrPort, path string) (data json.RawMessage, err error) {
 	defer func() { err = merry.Prependf(err, "reading %s from %s", path, address) }()
-	return call[json.RawMessage](ctx, c, callTimeout, http.MethodGet, address, path, nil)
+	return call[json.RawMessage](ctx, c, c.settings.Timeout, http.MethodGet, address, path, nil)
 }
 
 func (c *Client) address(holder ident.Incarnation) (netip.AddrPort, bool) {
--- a/internal/router/compose.go
+++ b/internal/router/compose.go
@@ -42,13 +42,16 @@
 	defaultMaintain   = time.Second
 	defaultQuarantine = 2 * time.Second
 
-	defaultMaxBody     = 4 << 20
-	defaultMaxHeader   = 32 << 10
-	defaultReadTimeout = 30 * time.Second
-	defaultIdleTimeout = 2 * time.Minute
+	defaultMaxBody        = 4 << 20
+	defaultMaxHeader      = 32 << 10
+	defaultMaxStreams     = 2000
+	defaultMaxConnections = 4000
+	defaultReadTimeout    = 15 * time.Second
+	defaultWriteTimeout   = 30 * time.Second
+	defaultIdleTimeout    = time.Minute
+	defaultStoreTimeout   = 2 * time.Second
+	defaultPeerTimeout    = time.Second
 
-	// storeTimeout bounds one call of the key-value service.
-	storeTimeout = 2 * time.Second
 	// listInterval is the time between two readings of the platform's list.
 	listInterval = 2 * time.Second
 	// resyncInterval is the time between two listings of the registered VMs.
@@ -72,7 +75,12 @@
 	setDefault(&l.MaxBody, defaultMaxBody)
 	setDefault(&l.MaxHeader, defaultMaxHeader)
 	setDefault(&l.ReadTimeout, defaultReadTimeout)
+	setDefault(&l.MaxStreams, defaultMaxStreams)
+	setDefault(&l.MaxConnections, defaultMaxConnections)
+	setDefault(&l.WriteTimeout, defaultWriteTimeout)
 	setDefault(&l.IdleTimeout, defaultIdleTimeout)
+	setDefault(&l.StoreTimeout, defaultStoreTimeout)
+	setDefault(&l.PeerTimeout, defaultPeerTimeout)
 	return s
 }
 
@@ -101,7 +109,7 @@
 		Log:            s.Log,
 		TTL:            s.Timing.LeaseTTL,
 		Interval:       s.Timing.LeaseTTL / 4,
-		Timeout:        storeTimeout,
+		Timeout:        s.Limits.StoreTimeout,
 		Lifetime:       r.shareLifetime,
 		NewIncarnation: r.renewIncarnation,
 	})
@@ -119,7 +127,7 @@
 		},
 		Clock:    s.Clock,
 		Log:      s.Log,
-		Timeout:  storeTimeout,
+		Timeout:  s.Limits.StoreTimeout,
 		Resync:   resyncInterval,
 		Poll:     listInterval,
 		Lifetime: r.shareLifetime,
@@ -132,6 +140,7 @@
 		Self:    r.incarnation,
 		Domain:  s.FailureDomain,
 		Secret:  s.Secret,
+		Timeout: s.Limits.PeerTimeout,
 		Clock:   s.Clock,
 	})
 	r.watcher = configwatch.Start(configwatch.Settings{
@@ -165,6 +174,7 @@
 		Retention: time.Duration(policy.ClaimRetentionSeconds) * time.Second,
 		Clock:     s.Clock,
 		Log:       s.Log,
+		Timeout:   s.Limits.StoreTimeout,
 	})
 	r.wallet = wallet.New(wallet.Settings{
 		Holder:   r.incarnation,
@@ -241,12 +251,14 @@
 		Log:           s.Log,
 	}))
 	r.callerHandler.set(callerapi.New(callerapi.Settings{
-		Dispatcher: r.dispatcher,
-		Index:      r.watcher.Index,
-		Ready:      r.ready,
-		MaxBody:    s.Limits.MaxBody,
-		Clock:      s.Clock,
-		Log:        s.Log,
+		Dispatcher:   r.dispatcher,
+		Index:        r.watcher.Index,
+		Ready:        r.ready,
+		MaxBody:      s.Limits.MaxBody,
+		MaxRequests:  s.Limits.MaxStreams,
+		WriteTimeout: s.Limits.WriteTimeout,
+		Clock:        s.Clock,
+		Log:          s.Log,
 	}))
 	r.serving.Store(true)
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -15,6 +15,7 @@
 package router
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"encoding/hex"
@@ -50,10 +51,11 @@
 	"example.org/lagoonfork/pkg/store"
 )
 
-// Settings of a Router. VMs may be nil; the other fields without a default are
-// required.
+// Settings of a Router. VMs may be nil, and an empty Incarnation stands for a
+// new one; the other fields without a default are required.
 type Settings struct {
 	VM            ident.VM
+	Incarnation   ident.Incarnation
 	FailureDomain ident.FailureDomain
 	Region        ident.Region
 	CallerAddress netip.AddrPort // port 0 takes any free one
@@ -74,10 +76,15 @@
 
 // Limits bound what one caller may ask of the process.
 type Limits struct {
-	MaxBody     int64 // in bytes
-	MaxHeader   int   // in bytes
-	ReadTimeout time.Duration
-	IdleTimeout time.Duration
+	MaxBody        int64 // in bytes
+	MaxHeader      int   // in bytes
+	MaxStreams     int   // requests in progress
+	MaxConnections int   // of callers
+	ReadTimeout    time.Duration
+	WriteTimeout   time.Duration // for each part of a response
+	IdleTimeout    time.Duration
+	StoreTimeout   time.Duration
+	PeerTimeout    time.Duration
 }
 
 // Timing holds the intervals of the background work. Zero values stand for
@@ -135,7 +142,7 @@
 	defer func() { err = merry.Prependf(err, "starting the router of VM %s", s.VM) }()
 	r = &Router{
 		settings:    s.withDefaults(),
-		incarnation: newIncarnation(s.VM),
+		incarnation: cmp.Or(s.Incarnation, newIncarnation(s.VM)),
 		journal:     journal.New(journalSize),
 		notices:     make(chan wallet.Notice, maxNotices),
 	}
@@ -237,7 +244,7 @@
 	r.peerAddress = peers.Addr().(*net.TCPAddr).AddrPort()
 	r.callers = r.server(&r.callerHandler)
 	r.peers = r.server(&r.peerHandler)
-	r.run(r.callers, callers)
+	r.run(r.callers, newLimitedListener(callers, r.settings.Limits.MaxConnections))
 	r.run(r.peers, peers)
 	return nil
 }
--- a/internal/routing/measure_test.go
+++ b/internal/routing/measure_test.go
@@ -109,7 +109,6 @@
 	events  eventQueue
 	waits   *hdrhistogram.Histogram
 	frozen  bool
-	flushed bool
 	lost    int
 }
 
