Keep the ranked peers between changes

At 390 VMs each call of Peers took 63 us and copied 72 kB, over the 5 us meant for a decision on the request path. The view keeps the members until a change, or until an answered probe loses its effect.

--- a/internal/membership/query.go
+++ b/internal/membership/query.go
@@ -26,22 +26,37 @@
 
 // Peers returns the members other than the own VM that are not gone: live,
 // then suspect, then leaving ones, and among these the same failure domain
-// first, then the same region, then in an order that differs between VMs.
+// first, then the same region, then in an order that differs between VMs. The
+// caller must not change the slice, which the view does not change either.
 func (v *View) Peers(now time.Time) []Member {
-	order := v.nearest()
-	states := make([]State, len(order))
-	for i, p := range order {
-		states[i], _ = p.decide(v.settings, now)
+	if v.ranked == nil || (!v.rankedUntil.IsZero() && now.After(v.rankedUntil)) {
+		v.rank(now)
 	}
-	members := make([]Member, 0, len(order))
+	return v.ranked
+}
+
+// rank sets ranked, and rankedUntil to the time at which the first answered
+// probe that counts for it loses its effect.
+func (v *View) rank(now time.Time) {
+	order := v.nearest()
+	v.ranked = make([]Member, 0, len(order))
+	v.rankedUntil = time.Time{}
 	for _, state := range []State{StateLive, StateSuspect, StateLeaving} {
-		for i, p := range order {
-			if states[i] == state {
-				members = append(members, v.memberAt(now, p))
+		for _, p := range order {
+			if m := v.memberAt(now, p); m.State == state {
+				v.ranked = append(v.ranked, m)
 			}
 		}
 	}
-	return members
+	for _, p := range order {
+		until := p.answered.Add(v.settings.ProbeValidity)
+		if p.registered || p.answered.IsZero() || now.After(until) {
+			continue
+		}
+		if v.rankedUntil.IsZero() || until.Before(v.rankedUntil) {
+			v.rankedUntil = until
+		}
+	}
 }
 
 // Owner returns the live member that does the work of a ledger page, by
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -80,12 +80,15 @@
 	settings Settings
 	peers    map[ident.VM]*peer // with the own VM
 	absences absences
-	// order holds the peers other than the own VM, the nearest first. It is
-	// nil after a change of the peers or their places.
-	order []*peer
-	// live holds the live peers with the own VM, in order of VM. It is nil
-	// after a change of a state.
-	live []*peer
+
+	// These hold what queries return until a change of the peers makes them
+	// nil: the peers other than the own VM, the nearest first; the live peers
+	// with the own VM, in order of VM; and the members for Peers, which time
+	// alone may change after rankedUntil.
+	order       []*peer
+	live        []*peer
+	ranked      []Member
+	rankedUntil time.Time // zero if time changes nothing
 }
 
 // NewView returns a view that knows its own VM alone.
@@ -147,7 +150,7 @@
 		if !ok {
 			p = v.newPeer(recordOf(vm))
 			v.peers[vm.ID] = p
-			v.order = nil
+			v.order, v.ranked = nil, nil
 		}
 		p.listed = vm.State
 	}
@@ -167,6 +170,9 @@
 		p.failures++
 		p.answered = time.Time{}
 	}
+	if !p.registered {
+		v.ranked = nil // time may have changed the peer there already
+	}
 	return v.settlePeer(nil, now, p)
 }
 
@@ -190,7 +196,7 @@
 	if !ok {
 		p = v.newPeer(r)
 		v.peers[r.VM] = p
-		v.order = nil
+		v.order, v.ranked = nil, nil
 	}
 	if p.record.Incarnation != r.Incarnation {
 		v.unregister(now, p)
@@ -198,7 +204,7 @@
 	}
 	if p.record != r {
 		p.record = r
-		v.order = nil
+		v.order, v.ranked = nil, nil
 	}
 	p.registered = true
 	v.absences.remove(r.Incarnation)
@@ -228,7 +234,7 @@
 		transitions = v.settlePeer(transitions, now, p)
 		if p.state == StateGone && p.listed == "" && vm != v.settings.Self.VM {
 			delete(v.peers, vm)
-			v.order = nil
+			v.order, v.ranked = nil, nil
 		}
 	}
 	slices.SortFunc(transitions, func(a, b Transition) int {
@@ -241,11 +247,12 @@
 func (v *View) settlePeer(transitions []Transition, now time.Time, p *peer) []Transition {
 	state, reason := p.decide(v.settings, now)
 	from := p.state
-	p.reason = reason
+	if state != from || reason != p.reason {
+		v.live, v.ranked = nil, nil
+	}
+	p.state, p.reason = state, reason
 	if state == from {
 		return transitions
 	}
-	p.state = state
-	v.live = nil
 	return append(transitions, Transition{Member: p.member(), From: from, Time: now})
 }
--- a/internal/membership/view_test.go
+++ b/internal/membership/view_test.go
@@ -148,6 +148,66 @@
 	assert.Equal(t, record(3).VM, v.Peers(now)[0].VM, "the own failure domain comes first")
 }
 
+// TestPeersFollowChanges checks that Peers takes account of each change after
+// it was called before.
+func TestPeersFollowChanges(t *testing.T) {
+	v := fleet(3)
+	now, vm := start, record(1).VM
+	moved := record(2)
+	for i, step := range []struct {
+		change func()
+		want   State // of VM 1
+	}{
+		{func() {}, StateLive},
+		{func() { v.Probe(now, vm, true) }, StateLive},
+		{func() { v.Apply(now, []Change{{Record: Record{VM: vm}, Removed: true}}) }, StateSuspect},
+		{func() { now = now.Add(defaultProbeValidity) }, StateSuspect},
+		{func() { now = now.Add(1) }, ""},
+		{func() { v.Apply(now, []Change{{Record: record(1)}}) }, StateLive},
+		{func() {
+			moved.Address = record(9).Address
+			v.Apply(now, []Change{{Record: moved}})
+		}, StateLive},
+		{func() { v.List(now, []vmlist.VM{listedAs(record(1), vmlist.StateLeaving)}) }, StateLeaving},
+		{func() { v.Observe(now, now, []Record{moved}) }, ""},
+	} {
+		step.change()
+		got := make(map[ident.VM]Member)
+		for _, m := range v.Peers(now) {
+			got[m.VM] = m
+		}
+		assert.Equal(t, step.want, got[vm].State, "step %d", i)
+		assert.Equal(t, moved.Address, got[moved.VM].Address, "step %d", i)
+	}
+}
+
+// TestProbesLoseEffect checks Peers for two VMs that are not registered, of
+// which one answered a probe before the other.
+func TestProbesLoseEffect(t *testing.T) {
+	v := fleet(3)
+	v.List(start, []vmlist.VM{listedAs(record(1), vmlist.StateLive)})
+	v.Probe(at(0), record(1).VM, true)
+	v.Probe(at(1), record(2).VM, true)
+	v.Observe(at(1), at(1), records(1))
+	reasons := func(now time.Time) map[ident.VM]Reason {
+		found := make(map[ident.VM]Reason)
+		for _, m := range v.Peers(now) {
+			found[m.VM] = m.Reason
+		}
+		return found
+	}
+	vm1, vm2 := record(1).VM, record(2).VM
+	both := map[ident.VM]Reason{vm1: ReasonUnregistered, vm2: ReasonUnregistered}
+	assert.Equal(t, both, reasons(at(1)))
+	assert.Equal(t, both, reasons(at(10)))
+	assert.Equal(t, map[ident.VM]Reason{vm1: ReasonListed, vm2: ReasonUnregistered}, reasons(at(11)))
+	assert.Equal(t, map[ident.VM]Reason{vm1: ReasonListed}, reasons(at(12)))
+	v.Probe(at(12), vm1, true)
+	assert.Equal(t, map[ident.VM]Reason{vm1: ReasonUnregistered}, reasons(at(12)))
+	v.Probe(at(12), vm1, false)
+	assert.Equal(t, map[ident.VM]Reason{vm1: ReasonListed}, reasons(at(12)))
+}
+
 func TestWitnessesInOtherDomains(t *testing.T) {
 	v := fleet(9)
 	own := record(0).FailureDomain
