Test each guard of the wallet

Cause: a plan asked for others' tokens, or refused, while the request to be served next fitted the share; found by the property test. Some guards of the wallet could be removed unnoticed.

Change: the plan leaves such a request to the share. Tests for late ends of old reservations, order of waiting, numbers of draws, notices and adopted claims.

--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -130,7 +130,10 @@
 func planNeeded(s State, d Decision) Decision {
 	short := s.Needed - s.Free
 	least := max(s.Least-s.Free, 1)
-	if s.Exhausted {
+	switch {
+	case s.Exhausted && s.Least <= s.Free:
+		return d // the next one is served from the share
+	case s.Exhausted:
 		return planRecall(s, d, short, least)
 	}
 	d.Action, d.Reason = ActionDraw, ReasonNeeded
--- a/internal/share/sharetest/run.go
+++ b/internal/share/sharetest/run.go
@@ -51,7 +51,7 @@
 	if s.Length == 0 {
 		s.Length = runLength
 	}
-	r := &run{Scenario: s, strategy: strategy}
+	r := &run{Scenario: s, strategy: strategy, result: Result{Runs: 1}}
 	r.faults = s.faults(rand.New(rand.NewPCG(s.Seed, 1)))
 	r.requests = rand.New(rand.NewPCG(s.Seed, 2))
 	r.losses = rand.New(rand.NewPCG(s.Seed, 3))
--- a/internal/share/sharetest/scenario.go
+++ b/internal/share/sharetest/scenario.go
@@ -66,12 +66,13 @@
 
 // Result is what a run counted.
 type Result struct {
-	Requests, Served, Refused, FalseRefusals int
-	// ShareCalls counts the calls to the store that the strategy made, beside
-	// those that settle bills.
+	Runs, Requests, Served, Refused, FalseRefusals int
+	// ShareCalls counts the calls of the strategy that reached the store,
+	// beside those that settle bills.
 	ShareCalls int
 	// Stranded is the part of the prepaid tokens that was left at the end of
-	// the run although requests were refused for which it would have served.
+	// the run although requests were refused for which it would have served,
+	// summed over the runs.
 	Stranded float64
 	// Wasted counts requests that ran and whose bill the ledger refused.
 	Wasted int
@@ -83,6 +84,7 @@
 
 // Add adds the counts of another run.
 func (r *Result) Add(o Result) {
+	r.Runs += o.Runs
 	r.Requests += o.Requests
 	r.Served += o.Served
 	r.Refused += o.Refused
--- /dev/null
+++ b/internal/wallet/guard_test.go
@@ -0,0 +1,219 @@
+package wallet
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"example.org/lagoonfork/internal/ledger"
+	"example.org/lagoonfork/pkg/configuration"
+	"example.org/lagoonfork/pkg/ident"
+	"example.org/lagoonfork/pkg/tokens"
+)
+
+// TestReservationsOutliveShare ends reservations of a share that has been
+// invalidated and drawn anew since.
+func TestReservationsOutliveShare(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		f, _ := newFleet(t, 1)
+		var old []*Reservation
+		for range 4 {
+			r, err := reserve(f["a"], 10_000, 100)
+			require.NoError(t, err)
+			old = append(old, r)
+		}
+		f["a"].Invalidate(budget)
+		_, err := reserve(f["a"], 10_000, 300)
+		require.NoError(t, err)
+		before := f["a"].Balance(budget)
+		old[0].Forfeit()
+		old[1].Reduce(10)
+		old[1].Release()
+		old[2].Release()
+		after := f["a"].Balance(budget)
+		assert.Equal(t, [2]tokens.Count{before.Free, before.Reserved}, [2]tokens.Count{after.Free, after.Reserved})
+		old[3].Settle(50)
+		assert.Equal(t, before.Free-50, f["a"].Balance(budget).Free, "the ledger has billed it to the new share")
+	})
+}
+
+func TestNumberOfExhaustedDrawIsUsedAgain(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		f, l := newFleet(t, 1)
+		r, err := reserve(f["a"], 1000, 500)
+		require.NoError(t, err)
+		r.Release()
+		for range 2 {
+			_, err = reserve(f["a"], 1000, 2000)
+			require.ErrorIs(t, err, ErrExhausted)
+		}
+		n := len(l.ops)
+		assert.Equal(t, sequence(l.ops[n-2]), sequence(l.ops[n-1]))
+		require.EqualValues(t, 10, f["a"].GiveBack(context.Background(), budget, 10))
+		_, err = reserve(f["a"], 1000, 2000)
+		require.ErrorIs(t, err, ErrExhausted)
+		assert.Less(t, sequence(l.ops[n]), sequence(l.ops[n+1]))
+		assert.Less(t, sequence(l.ops[n-1]), sequence(l.ops[n]))
+	})
+}
+
+func TestSmallRequestsWaitBehindLarge(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		f, l := newFleet(t, 1)
+		r, err := reserve(f["a"], 10_000, 100)
+		require.NoError(t, err)
+		r.Release()
+		gate := make(chan struct{})
+		l.gate = gate
+		go func() { _, _ = reserve(f["a"], 10_000, 5000) }()
+		synctest.Wait()
+		go func() { _, _ = reserve(f["a"], 10_000, 50) }()
+		synctest.Wait()
+		assert.Equal(t, 2, f["a"].Balance(budget).Waiting)
+		close(gate)
+		l.setFault(func(ledger.Op) fault { return unavailable })
+		synctest.Wait()
+		assert.Equal(t, 1, f["a"].Balance(budget).Waiting, "the small one is served once the draw has failed")
+		_, err = reserve(f["a"], 10_000, 50)
+		assert.NoError(t, err)
+	})
+}
+
+// TestNoGiveBackWhileWaiting asks a router for tokens that waits for some
+// itself.
+func TestNoGiveBackWhileWaiting(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		f, _ := newFleet(t, 2)
+		for h, w := range f {
+			r, err := reserve(w, 1000, 450)
+			require.NoError(t, err)
+			if h == "a" {
+				r.Release()
+			}
+		}
+		f["a"].Peers = slowPeers{f}
+		go func() { _, _ = reserve(f["a"], 1000, 800) }()
+		time.Sleep(10 * time.Millisecond)
+		assert.Equal(t, 1, f["a"].Balance(budget).Waiting)
+		assert.Zero(t, f["a"].GiveBack(context.Background(), budget, 100))
+	})
+}
+
+type slowPeers struct{ Peers }
+
+func (p slowPeers) Recall(ctx context.Context, h ident.Incarnation, b ident.Budget, n tokens.Count) (tokens.Count, error) {
+	time.Sleep(100 * time.Millisecond)
+	return p.Peers.Recall(ctx, h, b, n)
+}
+
+func TestReturnLearnsThatShareIsGone(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		f, l := newFleet(t, 1)
+		r, err := reserve(f["a"], 1000, 300)
+		require.NoError(t, err)
+		r.Release()
+		_, _ = l.Apply(context.Background(), ledger.Op{Reclaim: &ledger.Reclaim{Holder: "a"}})
+		assert.Zero(t, f["a"].GiveBack(context.Background(), budget, 100))
+		assert.Zero(t, f["a"].Balance(budget).Free)
+	})
+}
+
+func TestGrantAtLastMomentIsReleased(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		f, _ := newFleet(t, 1)
+		w := f["a"]
+		r := w.Adopt(time.Now(), budget, funding(1000), 100)
+		r.Release()
+		q := &waiter{tokens: 60, done: make(chan error, 1)}
+		w.do(r.account, func() { r.account.take(60) })
+		q.done <- nil
+		late := &Reservation{wallet: w, account: r.account, tokens: 60}
+		assert.ErrorIs(t, w.giveUp(late, q, context.Canceled), context.Canceled)
+		assert.EqualValues(t, 100, w.Balance(budget).Free)
+	})
+}
+
+func TestDroppedAccountSendsNothing(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		f, _ := newFleet(t, 1)
+		assert.ErrorIs(t, f["a"].acquire(context.Background(), &account{budget: budget, dropped: true}), errDropped)
+	})
+}
+
+func TestFundingOfHighestRevision(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		f, l := newFleet(t, 1)
+		f["a"].Keep(time.Now(), Notice{Budget: budget, Funding: ledger.Funding{Prepaid: 5000, Revision: 2}})
+		_, err := reserve(f["a"], 1000, 4000)
+		require.NoError(t, err)
+		assert.EqualValues(t, 2, l.ops[0].Draw.Funding.Revision)
+	})
+}
+
+// TestReservesInOtherDomains carries notices to a keeper.
+func TestReservesInOtherDomains(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		f, _ := newFleet(t, 3)
+		policy := configuration.Policy{ShareLifetimeSeconds: 600}
+		for _, w := range f {
+			w.Policy = func() configuration.Policy { return policy }
+		}
+		var notices []Notice
+		f["a"].Announce = func(n Notice) { notices = append(notices, n) }
+		serve := func() {
+			for range 60 {
+				r, err := reserve(f["a"], 10_000_000, 100)
+				require.NoError(t, err)
+				r.Settle(100)
+				time.Sleep(time.Second)
+			}
+		}
+		serve()
+		assert.Empty(t, notices, "at caution")
+		policy.Preference = configuration.PreferAvailability
+		serve()
+		serve()
+		require.NotEmpty(t, notices)
+		require.Less(t, len(notices), 3)
+		n := notices[len(notices)-1]
+		f["b"].Keep(time.Now(), n)
+		n.Rate = 0
+		f["c"].Keep(time.Now(), n)
+		for _, w := range f {
+			w.Maintain(context.Background(), time.Now())
+		}
+		assert.Greater(t, f["b"].Balance(budget).Free, 2*f["c"].Balance(budget).Free)
+		assert.EqualValues(t, 800, f["c"].Balance(budget).Free)
+	})
+}
+
+// TestAdoptTakenClaim moves an open claim with its tokens to another holder.
+func TestAdoptTakenClaim(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		f, l := newFleet(t, 2)
+		r, err := reserve(f["a"], 1000, 300)
+		require.NoError(t, err)
+		claim := ledger.Claim{Request: "1", Holder: "a", Attempt: "1", Idempotent: true, Reserved: 300}
+		apply := func(op ledger.Op) {
+			op.Budget = budget
+			result, err := l.Apply(context.Background(), op)
+			require.NoError(t, err)
+			require.Equal(t, ledger.Applied, result.Outcome)
+		}
+		apply(ledger.Op{Open: &ledger.Open{Claim: claim}})
+		apply(ledger.Op{Take: &ledger.TakeOver{Request: "1", From: "a", To: "b", Attempt: "2"}})
+		r.Settle(300)
+		taken := f["b"].Adopt(time.Now(), budget, funding(1000), 300)
+		claim.Holder, claim.Attempt, claim.Cost = "b", "2", 120
+		apply(ledger.Op{Settle: &ledger.Settle{Claim: claim}})
+		taken.Settle(120)
+		for h, w := range f {
+			assert.Equal(t, l.share(h).Granted, w.Balance(budget).Free, h)
+		}
+		assert.EqualValues(t, 180, f["b"].Balance(budget).Free)
+	})
+}
