--- a/internal/ledger/apply.go
+++ b/internal/ledger/apply.go
@@ -65,6 +65,7 @@
 		return
 	}
 	b.changed = false
+	b.encoded = nil
 	p.changes++
 }
 
--- a/internal/ledger/check.go
+++ b/internal/ledger/check.go
@@ -10,15 +10,20 @@
 	"example.org/lagoonfork/pkg/tokens"
 )
 
-// ErrInvariant reports a page that no sequence of ops can lead to.
-var ErrInvariant = errors.New("ledger page breaks an invariant")
+// Errors of pages.
+var (
+	// ErrInvariant reports a page that no sequence of ops can lead to.
+	ErrInvariant = errors.New("ledger page breaks an invariant")
+	// ErrPageFull reports a page that has no room for an op.
+	ErrPageFull = errors.New("ledger page is full")
+)
 
 // Check returns an error that wraps ErrInvariant unless in each budget
 //
 //   - Settled plus all Granted is at most the prepaid total plus Excess,
 //   - Reserved is at most Granted in each share,
 //   - Reserved is the sum over the holder's open claims,
-//   - and nothing is negative.
+//   - and no count is negative or beyond the bound of ops.
 func (p *Page) Check() error {
 	for id, b := range p.Budgets {
 		if err := b.check(); err != nil {
@@ -37,6 +42,7 @@
 		n := b.prune(cutoff)
 		dropped += n
 		if n > 0 {
+			b.encoded = nil
 			p.changes++
 		}
 	}
@@ -91,8 +97,8 @@
 		counts = append(counts, s.Granted, s.Reserved, s.Moved, s.Granted-s.Reserved)
 	}
 	for _, n := range counts {
-		if n < 0 {
-			return merry.Prependf(ErrInvariant, "negative count %d", n)
+		if !inRange(n) {
+			return merry.Prependf(ErrInvariant, "count %d out of range", n)
 		}
 	}
 	return nil
