--- a/internal/plainclient/client_test.go
+++ b/internal/plainclient/client_test.go
@@ -5,7 +5,9 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -160,6 +162,34 @@
 	require.ErrorIs(t, err, plainclient.ErrNotRun)
 }
 
+// TestConnectionsOfCalls counts the connections that calls open: each call that
+// is not idempotent has its own.
+func TestConnectionsOfCalls(t *testing.T) {
+	for _, test := range []struct {
+		idempotent  bool
+		connections int64
+	}{{false, 3}, {true, 1}} {
+		var connections atomic.Int64
+		server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(engine.HeaderAttempt, r.Header.Get(engine.HeaderAttempt))
+		}))
+		server.Config.ConnState = func(_ net.Conn, s http.ConnState) {
+			if s == http.StateNew {
+				connections.Add(1)
+			}
+		}
+		server.Start()
+		defer server.Close()
+		b := newBench(t, time.Minute)
+		b.upstream.Address = netip.MustParseAddrPort(server.Listener.Addr().String())
+		for range 3 {
+			_, err := b.client.Forward(t.Context(), b.upstream, call(test.idempotent))
+			require.NoError(t, err)
+		}
+		assert.Equal(t, test.connections, connections.Load())
+	}
+}
+
 func TestHeadersOfTheConnectionAreDropped(t *testing.T) {
 	got := make(chan http.Header, 1)
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/pkg/engine/chunkdecoder.go
+++ b/pkg/engine/chunkdecoder.go
@@ -52,7 +52,7 @@
 // it is the text.
 func (d *ChunkDecoder) learn(data []byte) {
 	c := &d.chunk
-	if len(c.Choices) != 1 || c.Choices[0].FinishReason != nil || c.Usage != nil {
+	if len(c.Choices) != 1 {
 		return
 	}
 	i := bytes.Index(data, []byte(textMark))
--- a/pkg/eventstream/reader_test.go
+++ b/pkg/eventstream/reader_test.go
@@ -52,6 +52,7 @@
 		{"cut in a line", "data: a\n\ndata: b", []plain{{"-", "a"}}, io.ErrUnexpectedEOF},
 		{"cut after a line", "data: a\n", nil, io.ErrUnexpectedEOF},
 		{"too large", "data: " + strings.Repeat("x", 2*MaxSize) + "\n\n", nil, ErrTooLarge},
+		{"comment too large", ":" + strings.Repeat("x", 3*MaxSize) + "\n\ndata: a\n\n", nil, ErrTooLarge},
 		{"too large in lines", strings.Repeat("data: "+long+"\n", MaxSize/len(long)+2) + "\n", nil, ErrTooLarge},
 	}
 	for _, test := range tests {
