--- a/internal/engineclient/client.go
+++ b/internal/engineclient/client.go
@@ -126,7 +126,7 @@
 		peers:    shard.NewMap[address, *peer](),
 		random:   rand.New(rand.NewPCG(s.Seed, 0)),
 	}
-	c.ctx = c.t.Context(nil)
+	c.ctx = c.t.Context(context.Background())
 	c.t.Go(c.housekeep)
 	return c
 }
--- a/internal/fake/engine/engine.go
+++ b/internal/fake/engine/engine.go
@@ -188,7 +188,7 @@
 		runs:     make(map[ident.Attempt]*run),
 		latest:   make(map[ident.Request]*run),
 	}
-	l.ctx, l.end = context.WithCancel(e.t.Context(nil))
+	l.ctx, l.end = context.WithCancel(e.t.Context(context.Background()))
 	l.server = &http.Server{
 		Handler:     l.handler(),
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
