Read parts by listing, and let relays read first when a fleet starts

A fleet that starts at once read all parts at every VM: 90 VMs took 3,071 reads with 33 parts. VMs that are no relays now leave the first reading to the relays, and VMs read from peers before the service: 465 reads (TestColdStart).

--- a/internal/configwatch/configwatch_test.go
+++ b/internal/configwatch/configwatch_test.go
@@ -253,6 +253,34 @@
 	}
 }
 
+// TestColdStart starts a whole fleet at once.
+func TestColdStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 90)
+		defer f.close()
+		time.Sleep(8 * time.Second)
+		assert.Zero(t, f.behind(1))
+		reads := f.service.Counts().Reads
+		t.Logf("reads=%d", reads)
+		assert.Less(t, int(reads), 10*33+90*4, "only the 10 relays read the 33 parts from the service")
+	})
+}
+
+// TestStartsWithoutRelays starts a VM that is no relay while no relay has a
+// configuration.
+func TestStartsWithoutRelays(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 0)
+		for i := range 15 {
+			f.network.watchers[vm(i)] = nil
+		}
+		w := f.start(follower(f))
+		time.Sleep(20 * time.Second)
+		assert.EqualValues(t, 1, w.Revision())
+		assert.NoError(t, w.Close())
+	})
+}
+
 func TestStartsFromPeersDuringOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 9)
--- a/internal/configwatch/follow.go
+++ b/internal/configwatch/follow.go
@@ -1,6 +1,7 @@
 package configwatch
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -36,6 +37,9 @@
 	relayGrace = time.Second
 	// startPeers is the number of peers that a starting VM asks.
 	startPeers = 3
+	// startPatience is the number of times that a starting VM leaves reading
+	// from the service to the relays.
+	startPatience = 6
 )
 
 func (s Settings) withDefaults() Settings {
@@ -64,10 +68,17 @@
 
 // start takes the highest revision of the service and several peers.
 func (w *Watcher) start(ctx context.Context) {
+	waited := 0
 	for failures := 0; ctx.Err() == nil && w.Revision() == 0; failures++ {
 		sources := append(w.sample(), storeSource)
-		for _, found := range w.survey(ctx, sources) {
-			if w.install(ctx, found.head, startOrder(found.source, sources)) == nil {
+		findings := w.survey(ctx, sources)
+		if w.leaveToRelays(findings) && waited < startPatience {
+			w.pause(ctx, storeSource, waited, errOnlyStore)
+			waited++
+			continue
+		}
+		for _, found := range findings {
+			if w.install(ctx, found.head, startOrder(found, findings)) == nil {
 				break
 			}
 		}
@@ -78,7 +89,17 @@
 	}
 }
 
-var errNotFound = errors.New("no configuration found")
+var (
+	errNotFound  = errors.New("no configuration found")
+	errOnlyStore = errors.New("no peer holds a configuration yet")
+)
+
+// leaveToRelays reports whether the service alone has a configuration and this
+// VM is no relay. When a whole fleet starts, the relays read the parts from the
+// service, and the other VMs had better read them from the relays.
+func (w *Watcher) leaveToRelays(findings []finding) bool {
+	return len(findings) == 1 && findings[0].source == storeSource && !w.watches()
+}
 
 // finding is the manifest that a source gave.
 type finding struct {
@@ -87,7 +108,7 @@
 }
 
 // survey asks all sources at once and returns what they hold, the highest
-// revision first.
+// revision first, and peers before the service.
 func (w *Watcher) survey(ctx context.Context, sources []ident.VM) (findings []finding) {
 	var mu sync.Mutex
 	var group sync.WaitGroup
@@ -103,7 +124,9 @@
 		})
 	}
 	group.Wait()
-	slices.SortFunc(findings, func(x, y finding) int { return int(y.head.Revision - x.head.Revision) })
+	slices.SortFunc(findings, func(x, y finding) int {
+		return cmp.Or(cmp.Compare(y.head.Revision, x.head.Revision), cmp.Compare(y.source, x.source))
+	})
 	return findings
 }
 
@@ -120,16 +143,19 @@
 	return manifest.Decode(entry.Value)
 }
 
-// startOrder returns the sources to read parts from: the peers, as they have
-// most parts in any case, with first in front of them, and the service last.
-func startOrder(first ident.VM, sources []ident.VM) []ident.VM {
-	order := []ident.VM{first}
-	for _, source := range sources {
-		if source != first {
-			order = append(order, source)
+// startOrder returns the sources to read the parts of a finding from: the peers
+// that hold a configuration, as they have most parts in any case, the one that
+// gave the manifest in front, and the service last.
+func startOrder(first finding, findings []finding) (order []ident.VM) {
+	if first.source != storeSource {
+		order = append(order, first.source)
+	}
+	for _, f := range findings {
+		if f.source != first.source && f.source != storeSource {
+			order = append(order, f.source)
 		}
 	}
-	return order
+	return append(order, storeSource)
 }
 
 // sample returns some live peers in random order.
--- a/internal/publication/query.go
+++ b/internal/publication/query.go
@@ -15,8 +15,13 @@
 	"example.org/lagoonfork/pkg/store"
 )
 
-// readers is the number of parts that are read at the same time.
-const readers = 8
+const (
+	// readers is the number of reads at the same time.
+	readers = 8
+	// listThreshold is the number of parts above which they are listed. A
+	// listing also brings the old parts that are still held.
+	listThreshold = 2 * len(manifest.DigestAlphabet)
+)
 
 // State is a revision with the answers that it was made from.
 type State struct {
@@ -150,7 +155,12 @@
 	return digests, nil
 }
 
+// parts reads parts: one by one, or, where that takes fewer calls, by listing
+// all parts by the first character of their digests.
 func (p *Publisher) parts(ctx context.Context, digests []manifest.Digest) (manifest.Parts, error) {
+	if len(digests) > listThreshold {
+		return p.listParts(ctx, digests)
+	}
 	var mu sync.Mutex
 	parts := make(manifest.Parts, len(digests))
 	group, ctx := errgroup.WithContext(ctx)
@@ -167,6 +177,40 @@
 	return parts, group.Wait()
 }
 
+func (p *Publisher) listParts(ctx context.Context, digests []manifest.Digest) (manifest.Parts, error) {
+	wanted := make(map[manifest.Digest]bool, len(digests))
+	for _, digest := range digests {
+		wanted[digest] = true
+	}
+	var mu sync.Mutex
+	parts := make(manifest.Parts, len(digests))
+	group, listing := errgroup.WithContext(ctx)
+	group.SetLimit(readers)
+	for _, first := range manifest.DigestAlphabet {
+		group.Go(func() error {
+			entries, _, err := p.store.List(listing, manifest.PartPrefix+string(first))
+			mu.Lock()
+			defer mu.Unlock()
+			for _, entry := range entries {
+				digest := manifest.Digest(entry.Key[len(manifest.PartPrefix):])
+				if wanted[digest] && manifest.Sum(entry.Value) == digest {
+					parts[digest] = entry.Value
+				}
+			}
+			return err
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return nil, err
+	}
+	for digest := range wanted {
+		if _, ok := parts[digest]; !ok {
+			return nil, merry.Prependf(manifest.ErrMissing, "part %s", digest)
+		}
+	}
+	return parts, nil
+}
+
 // part reads one part and verifies it.
 func (p *Publisher) part(ctx context.Context, digest manifest.Digest) ([]byte, error) {
 	entry, err := p.store.Get(ctx, digest.Key())
