Tell waiting peers a revision, not a manifest, when nothing is new

A manifest from a peer is put in force only if it names a whole configuration; one without buckets would have emptied the configuration. VMs spread their retries by seeds of their own where none is given.

--- a/internal/configwatch/configwatch.go
+++ b/internal/configwatch/configwatch.go
@@ -73,7 +73,8 @@
 	// not called if Peers is nil.
 	Live func() []ident.VM
 	Log  hclog.Logger // nil logs nothing
-	// Random spreads repeated attempts. nil stands for a fixed seed.
+	// Random spreads repeated attempts. nil stands for a seed that follows
+	// from VM, so that VMs differ.
 	Random *rand.Rand
 	// Timeout bounds each call of a peer or the service, except for waiting;
 	// 0 stands for 3 s.
@@ -173,8 +174,10 @@
 	return w.current.Load().head
 }
 
-// AwaitHead waits until a revision above the given one is in force, ctx ends
-// or the watcher is closed, and returns the manifest in force.
+// AwaitHead waits until a revision above the given one is in force and returns
+// its manifest. If ctx ends or the watcher is closed before, it returns a
+// manifest with the revision in force and nothing else, since peers wait again
+// and again and a manifest may have tens of kilobytes.
 func (w *Watcher) AwaitHead(ctx context.Context, above configuration.Revision) manifest.Manifest {
 	for {
 		changed := w.Changed()
@@ -184,13 +187,23 @@
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			return w.Head()
+			return w.headAbove(above)
 		case <-w.tomb.Dying():
-			return w.Head()
+			return w.headAbove(above)
 		}
 	}
 }
 
+// headAbove returns the manifest in force, or only its revision if that is not
+// above the given one.
+func (w *Watcher) headAbove(above configuration.Revision) manifest.Manifest {
+	head := w.Head()
+	if head.Revision <= above {
+		return manifest.Manifest{Revision: head.Revision}
+	}
+	return head
+}
+
 // Part returns the content of a part of the revision in force, for a peer. It
 // returns manifest.ErrMissing if the part is not held.
 func (w *Watcher) Part(digest manifest.Digest) ([]byte, error) {
--- a/internal/configwatch/configwatch_test.go
+++ b/internal/configwatch/configwatch_test.go
@@ -291,6 +291,9 @@
 		require.NoError(t, w.AwaitFirst(t.Context()))
 		assert.EqualValues(t, 1, w.Revision())
 		assert.Equal(t, f.network.watchers[vm(0)].Current(), w.Current())
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		assert.Equal(t, manifest.Manifest{Revision: 1}, w.AwaitHead(ctx, 1), "nothing new is told in few bytes")
 		f.service.SetFaults(keyvalue.Faults{})
 		r := f.change()
 		time.Sleep(8 * time.Second)
@@ -473,6 +476,11 @@
 	client.SetFaults(keyvalue.Faults{Outage: true})
 	assert.ErrorIs(t, w.Offer(t.Context(), "forger", s.Head), manifest.ErrMalformed)
 	assert.Nil(t, w.Current())
+
+	client.SetFaults(keyvalue.Faults{})
+	s.Head.Buckets = nil
+	assert.ErrorIs(t, w.Offer(t.Context(), "forger", s.Head), manifest.ErrMalformed)
+	assert.Nil(t, w.Current())
 }
 
 // BenchmarkInstall puts a change of one budget in force at a watcher that
--- a/internal/configwatch/follow.go
+++ b/internal/configwatch/follow.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/go-hclog"
 
 	"example.org/lagoonfork/internal/event"
@@ -47,7 +48,7 @@
 		s.Log = hclog.NewNullLogger()
 	}
 	if s.Random == nil {
-		s.Random = rand.New(rand.NewPCG(1, 2))
+		s.Random = rand.New(rand.NewPCG(xxhash.Sum64String(string(s.VM)), 0))
 	}
 	if s.Timeout <= 0 {
 		s.Timeout = defaultTimeout
--- a/internal/configwatch/install.go
+++ b/internal/configwatch/install.go
@@ -68,6 +68,9 @@
 func (w *Watcher) assemble(
 	ctx context.Context, held *snapshot, head manifest.Manifest, sources []ident.VM,
 ) (next *snapshot, read int, err error) {
+	if err := head.Check(); err != nil {
+		return nil, 0, err
+	}
 	missing := held.missing(head)
 	parts, err := w.fetch(ctx, missing, sources)
 	if err != nil {
--- a/internal/manifest/manifest.go
+++ b/internal/manifest/manifest.go
@@ -22,6 +22,7 @@
 	"crypto/sha256"
 	"encoding/base64"
 	"encoding/json"
+	"slices"
 
 	"github.com/ansel1/merry/v2"
 
@@ -104,12 +105,20 @@
 func Decode(data []byte) (m Manifest, err error) {
 	defer func() { err = merry.Prepend(err, "reading a manifest") }()
 	err = json.Unmarshal(data, &m)
-	if err == nil && (m.Revision < 1 || m.Base == "" || !isPowerOfTwo(len(m.Buckets))) {
-		err = ErrMalformed
+	if err == nil {
+		err = m.Check()
 	}
 	return m, err
 }
 
+// Check returns ErrMalformed unless m names a whole configuration.
+func (m Manifest) Check() error {
+	if m.Revision < 1 || m.Base == "" || !isPowerOfTwo(len(m.Buckets)) || slices.Contains(m.Buckets, "") {
+		return ErrMalformed
+	}
+	return nil
+}
+
 // Encode returns the manifest as stored.
 func (m Manifest) Encode() ([]byte, error) {
 	data, err := json.Marshal(m)
