--- a/internal/configwatch/configwatch_test.go
+++ b/internal/configwatch/configwatch_test.go
@@ -253,6 +253,34 @@
 	}
 }
 
+// TestColdStart starts a whole fleet at once.
+func TestColdStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 90)
+		defer f.close()
+		time.Sleep(8 * time.Second)
+		assert.Zero(t, f.behind(1))
+		reads := f.service.Counts().Reads
+		t.Logf("reads=%d", reads)
+		assert.Less(t, int(reads), 10*33+90*6, "only the 10 relays read the 33 parts from the service")
+	})
+}
+
+// TestStartsWithoutRelays starts a VM that is no relay while no relay has a
+// configuration.
+func TestStartsWithoutRelays(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 0)
+		for i := range 15 {
+			f.network.watchers[vm(i)] = nil
+		}
+		w := f.start(follower(f))
+		time.Sleep(20 * time.Second)
+		assert.EqualValues(t, 1, w.Revision())
+		assert.NoError(t, w.Close())
+	})
+}
+
 func TestStartsFromPeersDuringOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 9)
@@ -263,6 +291,9 @@
 		require.NoError(t, w.AwaitFirst(t.Context()))
 		assert.EqualValues(t, 1, w.Revision())
 		assert.Equal(t, f.network.watchers[vm(0)].Current(), w.Current())
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		assert.Equal(t, manifest.Manifest{Revision: 1}, w.AwaitHead(ctx, 1), "nothing new is told in few bytes")
 		f.service.SetFaults(keyvalue.Faults{})
 		r := f.change()
 		time.Sleep(8 * time.Second)
@@ -445,6 +476,11 @@
 	client.SetFaults(keyvalue.Faults{Outage: true})
 	assert.ErrorIs(t, w.Offer(t.Context(), "forger", s.Head), manifest.ErrMalformed)
 	assert.Nil(t, w.Current())
+
+	client.SetFaults(keyvalue.Faults{})
+	s.Head.Buckets = nil
+	assert.ErrorIs(t, w.Offer(t.Context(), "forger", s.Head), manifest.ErrMalformed)
+	assert.Nil(t, w.Current())
 }
 
 // BenchmarkInstall puts a change of one budget in force at a watcher that
