--- a/internal/ledger/codec.go
+++ b/internal/ledger/codec.go
@@ -67,17 +67,28 @@
 	return WriteID(strconv.FormatUint(h.Sum64(), 36))
 }
 
+// assemble joins the encoded parts of the page. The budgets are not encoded
+// again, nor copied more than once.
 func (p *Page) assemble(budgets []byte) ([]byte, error) {
-	return json.Marshal(struct {
-		Writes  []WriteID       `json:"writes,omitempty"`
-		Budgets json.RawMessage `json:"budgets"`
-	}{p.Writes, budgets})
+	rest, err := json.Marshal(struct {
+		Writes []WriteID `json:"writes,omitempty"`
+	}{p.Writes})
+	if err != nil {
+		return nil, err
+	}
+	data := slices.Grow([]byte(`{"budgets":`), len(budgets)+len(rest)+1)
+	data = append(data, budgets...)
+	if len(p.Writes) > 0 {
+		data = append(data, ',')
+	}
+	return append(data, rest[1:]...), nil
 }
 
 // encodeBudgets returns the budgets as a JSON object in order of identifier.
 func (p *Page) encodeBudgets() ([]byte, error) {
 	ids := slices.Sorted(maps.Keys(p.Budgets))
-	buffer := []byte{'{'}
+	buffer := make([]byte, 1, 1+p.encodedSize())
+	buffer[0] = '{'
 	for i, id := range ids {
 		if i > 0 {
 			buffer = append(buffer, ',')
@@ -97,6 +108,14 @@
 	return append(buffer, '}'), nil
 }
 
+// encodedSize estimates the encoded size of the budgets.
+func (p *Page) encodedSize() (n int) {
+	for id, b := range p.Budgets {
+		n += len(id) + len(b.encoded) + len(`"":,`)
+	}
+	return n
+}
+
 func (b *Budget) encode() (data []byte, err error) {
 	if b.encoded != nil {
 		return b.encoded, nil
