List the records often enough for any greatest gap

With a lease of 3 s the greatest gap was 1.5 s and the listings 2 s apart, so that no absence was ever proved. The time between listings is a third of the gap now, and a longer one is refused. Follower.Peers returns a copy, since callers shuffle it.

--- a/internal/membership/follower/follower.go
+++ b/internal/membership/follower/follower.go
@@ -22,6 +22,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -39,12 +40,15 @@
 // Defaults of Settings.
 const (
 	defaultTimeout = 2 * time.Second
-	defaultCount   = 2 * time.Second
 	defaultResync  = time.Minute
 	defaultPoll    = 5 * time.Second
 	defaultRetry   = time.Second
 )
 
+// countsPerGap is the default number of listings within
+// membership.Settings.MaxGap while an absence is being counted.
+const countsPerGap = 3
+
 // VMs is the platform's list of VMs.
 type VMs interface {
 	List(ctx context.Context) ([]vmlist.VM, error)
@@ -64,8 +68,8 @@
 	// 2 s.
 	Timeout time.Duration
 	// Count is the time between listings of the records while the absence of
-	// a holder is being counted. Together with Timeout it is below
-	// membership.Settings.MaxGap. The default is 2 s.
+	// a holder is being counted. It is below membership.Settings.MaxGap; the
+	// default is a third of that.
 	Count time.Duration
 	// Resync is the time between listings otherwise. The default is 1 min.
 	Resync time.Duration
@@ -79,7 +83,8 @@
 
 func (s Settings) withDefaults() Settings {
 	s.Timeout = cmp.Or(s.Timeout, defaultTimeout)
-	s.Count = cmp.Or(s.Count, defaultCount)
+	s.View.MaxGap = cmp.Or(s.View.MaxGap, membership.DefaultMaxGap)
+	s.Count = cmp.Or(s.Count, s.View.MaxGap/countsPerGap)
 	s.Resync = cmp.Or(s.Resync, defaultResync)
 	s.Poll = cmp.Or(s.Poll, defaultPoll)
 	s.Retry = cmp.Or(s.Retry, defaultRetry)
@@ -90,6 +95,9 @@
 	if s.Store == nil || s.Clock == nil || s.Log == nil || s.Lifetime == nil {
 		return errors.New("no store, clock, log or lifetime")
 	}
+	if s.Count >= s.View.MaxGap {
+		return errors.New("the time between listings is not below the greatest gap")
+	}
 	return nil
 }
 
@@ -168,11 +176,11 @@
 	return f.view.Members(now)
 }
 
-// Peers returns View.Peers.
+// Peers returns a copy of View.Peers.
 func (f *Follower) Peers(now time.Time) []membership.Member {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.view.Peers(now)
+	return slices.Clone(f.view.Peers(now))
 }
 
 // Owner returns View.Owner.
--- a/internal/membership/follower/follower_test.go
+++ b/internal/membership/follower/follower_test.go
@@ -1,6 +1,7 @@
 package follower
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net/netip"
@@ -8,8 +9,6 @@
 	"testing"
 	"time"
 
-	"context"
-
 	"github.com/hashicorp/go-hclog"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -119,7 +118,10 @@
 	b.becomes(1, membership.StateLive)
 	b.register(2)
 	b.becomes(2, membership.StateLive)
-	assert.Len(t, b.Peers(b.clock()), 2)
+	peers := b.Peers(b.clock())
+	require.Len(t, peers, 2)
+	peers[0].VM = "" // the caller's own
+	assert.NotEmpty(t, b.Peers(b.clock())[0].VM)
 	require.NoError(t, b.service.Client().Revoke(t.Context(), lease))
 	b.becomes(1, "")
 }
@@ -219,6 +221,24 @@
 	b.becomes(1, membership.StateLive)
 }
 
+func TestCountIsBelowTheGap(t *testing.T) {
+	settings := Settings{
+		Store:    keyvalue.New(keyvalue.Settings{}).Client(),
+		Clock:    time.Now,
+		Log:      hclog.NewNullLogger(),
+		Lifetime: func() time.Duration { return lifetime },
+		View:     membership.Settings{Self: record(0), MaxGap: time.Second},
+		Count:    time.Second,
+	}
+	_, err := New(settings)
+	require.Error(t, err)
+	settings.Count = 0
+	f, err := New(settings)
+	require.NoError(t, err)
+	assert.Less(t, f.settings.Count, time.Second)
+	require.NoError(t, f.Close())
+}
+
 // silentStore has watches that tell nothing.
 type silentStore struct{ store.Store }
 
--- a/internal/membership/registration/registration.go
+++ b/internal/membership/registration/registration.go
@@ -74,7 +74,9 @@
 	// Lifetime returns how long an incarnation may act after it was last
 	// confirmed.
 	Lifetime func() time.Duration
-	// NewIncarnation makes the identifier of the next incarnation.
+	// NewIncarnation makes the identifier of the next incarnation. It never
+	// returns one twice, nor that of Record: an observer that has taken an
+	// incarnation for gone may reclaim its shares at any later time.
 	NewIncarnation func() ident.Incarnation
 }
 
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -57,7 +57,7 @@
 	ProbeValidity time.Duration
 	// MaxGap is the longest time between two listings of the records over
 	// which absence counts as unbroken. It is less than the time to live of
-	// the leases of the records. The default is 5 s.
+	// the leases of the records. The default is DefaultMaxGap.
 	MaxGap time.Duration
 }
 
@@ -65,13 +65,15 @@
 const (
 	defaultProbeFailures = 3
 	defaultProbeValidity = 10 * time.Second
-	defaultMaxGap        = 5 * time.Second
 )
 
+// DefaultMaxGap is the default of Settings.MaxGap.
+const DefaultMaxGap = 5 * time.Second
+
 func (s Settings) withDefaults() Settings {
 	s.ProbeFailures = cmp.Or(s.ProbeFailures, defaultProbeFailures)
 	s.ProbeValidity = cmp.Or(s.ProbeValidity, defaultProbeValidity)
-	s.MaxGap = cmp.Or(s.MaxGap, defaultMaxGap)
+	s.MaxGap = cmp.Or(s.MaxGap, DefaultMaxGap)
 	return s
 }
 
