Keep ended claims as long as they are needed, and no longer

A record made during an outage longer than the retention was dropped as expired, so that a delivered request went unbilled. Change: the claim of a request without a key is kept for one minute, since only its own writers repeat it; ended claims lose the fields that only open ones need; what may have been dropped is judged by when the bill was made, against the latest claim dropped; and after a gap in the writes of a page nothing is dropped for a minute, so that the bills held by other routers find the claims they repeat. Ruled out: dropping by age alone when a page is full, which forgets keyed requests early. Figures: before, a record made one minute into a 2 h outage was answered expired; after, it is billed once under three pushes. Conclusion: the retention of keyed claims still bounds a page; sealing old claims into further keys is the next step there.

--- a/internal/embedded/embedded_test.go
+++ b/internal/embedded/embedded_test.go
@@ -30,7 +30,7 @@
 )
 
 // testAnswers has two customers, three engines and two plain upstreams.
-func testAnswers(t *testing.T) answers.Answers {
+func testAnswers(t testing.TB) answers.Answers {
 	data, err := os.ReadFile("testdata/answers.json")
 	require.NoError(t, err)
 	a, err := answers.Decode(data)
--- a/internal/ledger/check.go
+++ b/internal/ledger/check.go
@@ -33,13 +33,21 @@
 	return nil
 }
 
-// Prune drops the claims that ended at least retention before now. Open claims
-// stay. It returns the number of claims dropped. A late record of a request
-// that is old enough to have been dropped is answered with Expired.
+// shortRetention is how long the ended claim of a request without an
+// idempotency key is kept, for the writers that repeat its bill.
+const shortRetention = time.Minute
+
+// Prune drops ended claims: retention before now, and shortRetention for
+// requests without an idempotency key whose bill no other router held. Open
+// claims stay, and so do all after the page was not written for a while. It
+// returns the number of claims dropped. A late record of a bill that is old
+// enough to have been dropped is answered with Expired.
 func (p *Page) Prune(now time.Time, retention time.Duration) (dropped int) {
-	cutoff := now.UTC().Round(0).Add(-retention)
+	if now.Before(p.Hold) {
+		return 0
+	}
 	for _, b := range p.Budgets {
-		n := b.prune(cutoff)
+		n := b.prune(now.UTC(), retention)
 		dropped += n
 		if n > 0 {
 			b.encoded = nil
@@ -49,20 +57,49 @@
 	return dropped
 }
 
-func (b *Budget) prune(cutoff time.Time) (dropped int) {
+const (
+	// writeGap is the time without a write after which the page may have been
+	// out of reach of its writers.
+	writeGap = 10 * time.Second
+	// writeHold is how long nothing is dropped after such a gap, so that the
+	// bills which routers held meanwhile find the claims they repeat.
+	writeHold = time.Minute
+	// clockMargin bounds the difference between the clocks of VMs.
+	clockMargin = 5 * time.Second
+)
+
+// Touch records that the page is being written at the time now.
+func (p *Page) Touch(now time.Time) {
+	now = now.UTC().Truncate(time.Second)
+	if !p.Written.IsZero() && now.Sub(p.Written) >= writeGap {
+		p.Hold = now.Add(writeHold)
+	}
+	if now.After(p.Written) {
+		p.Written = now
+	}
+}
+
+func (b *Budget) prune(now time.Time, retention time.Duration) (dropped int) {
 	for id, c := range b.Claims {
-		if c.State == StateOpen || c.Ended.After(cutoff) {
+		if c.State == StateOpen || c.Ended.After(now.Add(-c.retention(retention))) {
 			continue
 		}
 		delete(b.Claims, id)
 		dropped++
-	}
-	if dropped > 0 && cutoff.After(b.Pruned) {
-		b.Pruned = cutoff
+		if c.Ended.After(b.Pruned) {
+			b.Pruned = c.Ended
+		}
 	}
 	return dropped
 }
 
+func (c *Claim) retention(keyed time.Duration) time.Duration {
+	if c.Keyed || c.Delivered || c.State != StateSettled {
+		return keyed
+	}
+	return min(keyed, shortRetention)
+}
+
 func (b *Budget) check() error {
 	if b == nil {
 		return merry.Prepend(ErrInvariant, "no content")
--- a/internal/ledger/claim.go
+++ b/internal/ledger/claim.go
@@ -22,12 +22,17 @@
 	c.State = StateOpen
 	c.Cost = 0
 	c.Ended = time.Time{}
-	return b.store(c, now, Applied)
+	if c.Opened.IsZero() {
+		c.Opened = now
+	}
+	c.Opened = c.Opened.UTC().Round(0)
+	return b.store(c, Applied)
 }
 
 // settle bills a request unless it is billed already.
 func (b *Budget) settle(op Settle, now time.Time) Result {
 	c := op.Claim
+	c.Delivered = op.Delivered
 	old := b.Claims[c.Request]
 	switch {
 	case old == nil && b.expired(c):
@@ -75,6 +80,7 @@
 // share, or, once delivered, to what is free.
 func (b *Budget) charge(op Settle, now time.Time) Result {
 	c := op.Claim
+	c.Delivered = op.Delivered
 	s := b.Shares[c.Holder]
 	switch {
 	case s != nil && s.unreserved() >= c.Cost:
@@ -148,16 +154,13 @@
 
 // end stores c in a state that it does not leave while others may ask for it.
 func (b *Budget) end(c Claim, state State, now time.Time, outcome Outcome) Result {
+	c = c.trimmed()
 	c.State = state
-	c.Ended = now
-	return b.store(c, now, outcome)
+	c.Ended = now.UTC().Truncate(time.Second)
+	return b.store(c, outcome)
 }
 
-func (b *Budget) store(c Claim, now time.Time, outcome Outcome) Result {
-	if c.Opened.IsZero() {
-		c.Opened = now
-	}
-	c.Opened = c.Opened.UTC().Round(0)
+func (b *Budget) store(c Claim, outcome Outcome) Result {
 	if b.Claims == nil {
 		b.Claims = make(map[ident.Request]*Claim)
 	}
@@ -166,10 +169,32 @@
 	return Result{Outcome: outcome, Claim: c.clone()}
 }
 
-// expired reports whether a claim of c's age may have been pruned, so that its
-// absence says nothing.
+// expired reports whether a claim that was recorded when c was made may have
+// been dropped since, so that its absence says nothing.
 func (b *Budget) expired(c Claim) bool {
-	return !c.Opened.IsZero() && !c.Opened.After(b.Pruned)
+	made := c.Ended
+	if made.IsZero() {
+		made = c.Opened
+	}
+	return !b.Pruned.IsZero() && !made.IsZero() && !made.After(b.Pruned.Add(clockMargin))
+}
+
+// trimmed returns what retries and audits need of an ended claim.
+func (c Claim) trimmed() Claim {
+	return Claim{
+		Request:    c.Request,
+		Holder:     c.Holder,
+		Attempt:    c.Attempt,
+		Digest:     c.Digest,
+		Idempotent: c.Idempotent,
+		Keyed:      c.Keyed,
+		Delivered:  c.Delivered,
+		State:      c.State,
+		Reserved:   c.Reserved,
+		Cost:       c.Cost,
+		Upstream:   c.Upstream,
+		Ended:      c.Ended,
+	}
 }
 
 // standing returns the result of opening or settling c where the claim already
--- a/internal/ledger/codec.go
+++ b/internal/ledger/codec.go
@@ -8,6 +8,7 @@
 	"maps"
 	"slices"
 	"strconv"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 	"github.com/cespare/xxhash/v2"
@@ -71,14 +72,16 @@
 // again, nor copied more than once.
 func (p *Page) assemble(budgets []byte) ([]byte, error) {
 	rest, err := json.Marshal(struct {
-		Writes []WriteID `json:"writes,omitempty"`
-	}{p.Writes})
+		Writes  []WriteID `json:"writes,omitempty"`
+		Written time.Time `json:"written,omitzero"`
+		Hold    time.Time `json:"hold,omitzero"`
+	}{p.Writes, p.Written, p.Hold})
 	if err != nil {
 		return nil, err
 	}
 	data := slices.Grow([]byte(`{"budgets":`), len(budgets)+len(rest)+1)
 	data = append(data, budgets...)
-	if len(p.Writes) > 0 {
+	if len(rest) > len(`{}`) {
 		data = append(data, ',')
 	}
 	return append(data, rest[1:]...), nil
--- a/internal/ledger/committer/page.go
+++ b/internal/ledger/committer/page.go
@@ -204,7 +204,8 @@
 // encode drops claims past their retention from time to time, and returns the
 // page's encoding. It returns ledger.ErrPageFull if that is too long to write.
 func (c *Committer) encode(p *page, now time.Time) (data []byte, id ledger.WriteID, err error) {
-	if now.Sub(p.pruned) >= c.settings.Retention/pruneFraction {
+	p.current.Touch(now)
+	if now.Sub(p.pruned) >= min(c.settings.Retention/pruneFraction, maxPruneInterval) {
 		p.current.Prune(now, c.settings.Retention)
 		p.pruned = now
 	}
@@ -224,6 +225,10 @@
 // pruneFraction is the part of the retention after which a page is pruned.
 const pruneFraction = 32
 
+// maxPruneInterval is the longest time between two prunings of a page that is
+// being written.
+const maxPruneInterval = 10 * time.Second
+
 // certain reports whether a write that failed with err took no effect and will
 // take none.
 func certain(err error) bool {
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -134,16 +134,58 @@
 
 func TestPruneKeepsOpenClaimsAndRefusesLateRecords(t *testing.T) {
 	var p Page
+	keyed := claim("settled", "a", 10, 5)
+	keyed.Keyed = true
 	p.Apply(draw("a", 1, 500), start)
 	p.Apply(open(claim("open", "a", 10, 0)), start)
-	p.Apply(settle(claim("settled", "a", 10, 5), false), start)
+	p.Apply(settle(keyed, false), start)
+	p.Apply(settle(claim("keyless", "a", 10, 7), false), start)
+	p.Apply(settle(claim("delivered", "a", 10, 8), true), start)
+	assert.Zero(t, p.Prune(start.Add(shortRetention-time.Second), time.Hour))
+	assert.Equal(t, 1, p.Prune(start.Add(shortRetention), time.Hour))
 	assert.Zero(t, p.Prune(start.Add(time.Hour-time.Second), time.Hour))
-	assert.Equal(t, 1, p.Prune(start.Add(time.Hour), time.Hour))
+	assert.Equal(t, 2, p.Prune(start.Add(time.Hour), time.Hour))
 	_, found := p.Find("b", "open")
 	assert.True(t, found)
-	late := p.Apply(settle(claim("settled", "a", 10, 5), true), start.Add(time.Hour))
+	late := p.Apply(settle(keyed, true), start.Add(time.Hour))
 	assert.Equal(t, Expired, late.Outcome)
-	assert.EqualValues(t, 5, p.Budgets["b"].Settled)
+	assert.EqualValues(t, 20, p.Budgets["b"].Settled)
+}
+
+func TestLongRunIsBilledAfterYoungerClaimsWerePruned(t *testing.T) {
+	var p Page
+	long := claim("long", "a", 10, 5)
+	long.Opened = start
+	p.Apply(draw("a", 1, 500), start)
+	p.Apply(settle(claim("short", "a", 10, 5), false), start.Add(time.Minute))
+	now := start.Add(10 * time.Minute)
+	assert.Equal(t, 1, p.Prune(now, time.Hour))
+	long.Ended = now
+	assert.Equal(t, Applied, p.Apply(settle(long, false), now).Outcome)
+}
+
+// TestRecordsOfALongOutageAreBilledOnce has a bill made during an outage that
+// lasts longer than any retention, and pushed by three routers after it.
+func TestRecordsOfALongOutageAreBilledOnce(t *testing.T) {
+	var p Page
+	p.Touch(start)
+	p.Apply(draw("a", 1, 500), start)
+	before := claim("before", "a", 10, 3)
+	before.Ended = start
+	p.Apply(settle(before, false), start)
+	during := claim("during", "a", 10, 5)
+	during.Ended = start.Add(time.Minute)
+	back := start.Add(2 * time.Hour)
+	for i := range 3 {
+		now := back.Add(time.Duration(i) * time.Second)
+		p.Touch(now)
+		assert.Equal(t, Applied, p.Apply(settle(before, true), now).Outcome, "its answer was lost")
+		assert.Equal(t, Applied, p.Apply(settle(during, true), now).Outcome)
+		p.Prune(now, time.Hour)
+	}
+	assert.EqualValues(t, 8, p.Budgets["b"].Settled)
+	require.NoError(t, p.Check())
+	assert.Zero(t, p.Prune(back.Add(writeHold-time.Second), time.Hour), "held after the gap")
 }
 
 func TestExcessShrinksAsTokensComeBack(t *testing.T) {
--- a/internal/ledger/op.go
+++ b/internal/ledger/op.go
@@ -180,17 +180,18 @@
 // request identifier.
 type Claim struct {
 	Request     ident.Request     `json:"request"`
-	Customer    ident.Customer    `json:"customer"`
-	Application ident.Application `json:"application"`
+	Customer    ident.Customer    `json:"customer,omitempty"`
+	Application ident.Application `json:"application,omitempty"`
 	Holder      ident.Incarnation `json:"holder"`
 	Attempt     ident.Attempt     `json:"attempt"`
 	Digest      string            `json:"digest,omitempty"` // of the request's body, for keyed requests
 	Idempotent  bool              `json:"idempotent,omitempty"`
-	Keyed       bool              `json:"keyed,omitempty"` // the caller chose the identifier
+	Keyed       bool              `json:"keyed,omitempty"`     // the caller chose the identifier
+	Delivered   bool              `json:"delivered,omitempty"` // other routers held the bill
 	State       State             `json:"state"`
-	Reserved    tokens.Count      `json:"reserved"`
-	Cost        tokens.Count      `json:"cost"`
+	Reserved    tokens.Count      `json:"reserved,omitempty"`
+	Cost        tokens.Count      `json:"cost,omitempty"`
 	Upstream    ident.Upstream    `json:"upstream,omitempty"`
-	Opened      time.Time         `json:"opened"`
+	Opened      time.Time         `json:"opened,omitzero"`
 	Ended       time.Time         `json:"ended,omitzero"`
 }
--- a/internal/ledger/page.go
+++ b/internal/ledger/page.go
@@ -35,6 +35,10 @@
 	// Writes identifies the last writes of the page, the latest last, so that
 	// a writer whose answer was lost finds out whether its write took effect.
 	Writes []WriteID `json:"writes,omitempty"`
+	// Written is the time of the last write, and Hold the time before which
+	// no claim is dropped.
+	Written time.Time `json:"written,omitzero"`
+	Hold    time.Time `json:"hold,omitzero"`
 
 	changes uint64
 }
@@ -56,7 +60,7 @@
 	// funding took effect, less what has come back since. Only a lower funding
 	// raises it, and nothing is shared out while it lasts.
 	Excess tokens.Count `json:"excess,omitempty"`
-	// Pruned is the time up to which claims may have been dropped.
+	// Pruned is the latest end of the claims that were dropped.
 	Pruned time.Time `json:"pruned,omitzero"`
 
 	changed bool
