Bound the wait behind a slow draw

Cause: while the key-value service does not answer, requests that the share would have covered waited behind one that it would not, and were refused.

Change: once a request has waited its time, those behind it are served from the share, and later ones at once. A try of an op ends after five seconds and is repeated. A budget is called exhausted only if nobody was known to hold enough. Reserves in other failure domains are kept for budgets that are in steady use.

Conclusion: the new test fails without the change and passes with it.

--- a/internal/share/meter.go
+++ b/internal/share/meter.go
@@ -19,6 +19,9 @@
 	// rateWindow smooths the present rate, meanWindow the mean rate.
 	rateWindow = 5 * time.Second
 	meanWindow = 2 * time.Minute
+	// busyRequests is how many requests make a budget worth a reserve in other
+	// failure domains.
+	busyRequests = 3
 	// Observations of a Gauge closer to each other than shortestObservation
 	// count as one.
 	shortestObservation = time.Second
@@ -88,6 +91,13 @@
 	return g.rate
 }
 
+// Busy reports whether about busyRequests usual reservations or more were made
+// within the time that the mean rate covers.
+func (m *Meter) Busy(now time.Time) bool {
+	_, mean := m.Rates(now)
+	return mean*meanWindow.Seconds() >= busyRequests*m.size
+}
+
 // Request returns the usual size of a reservation in tokens.
 func (m *Meter) Request() tokens.Count {
 	return tokens.Count(math.Ceil(m.size))
--- a/internal/share/recall.go
+++ b/internal/share/recall.go
@@ -51,6 +51,16 @@
 	return asked
 }
 
+// Spent reports whether the ledger and all holders together had too little for
+// the reservation to be served next when a draw was last refused.
+func (s State) Spent() bool {
+	left := s.Free + s.Pool
+	for _, h := range s.Holders {
+		left += max(free(h), 0)
+	}
+	return s.Exhausted && left < s.Least
+}
+
 // Returned takes into holders that r brought back n tokens. A holder that
 // returned less than it was asked for has no more.
 func (r Recall) Returned(holders []ledger.Holding, n tokens.Count) {
--- a/internal/share/sharetest/strategy.go
+++ b/internal/share/sharetest/strategy.go
@@ -151,7 +151,8 @@
 
 // announce tells the keepers of the other domains that the budget is in use.
 func (h *holder) announce(p share.Policy) {
-	if !p.SpreadDomains || h.told && h.run.elapsed-h.notified < p.IdleLimit/3 {
+	due := !h.told || h.run.elapsed-h.notified >= p.IdleLimit/3
+	if !p.SpreadDomains || !due || !h.meter.Busy(h.run.now()) {
 		return
 	}
 	h.told, h.notified = true, h.run.elapsed
--- a/internal/wallet/account.go
+++ b/internal/wallet/account.go
@@ -195,8 +195,18 @@
 	return s
 }
 
-// notice tells the keepers that the budget is in use.
-func (a *account) notice(now time.Time) *Notice {
+// announceDivisor sets how many notices of a budget in use are sent before a
+// keeper that hears none would take it for idle.
+const announceDivisor = 3
+
+// notice returns the notice to the keepers that the budget is in use, or nil
+// if none is due.
+func (a *account) notice(now time.Time, p share.Policy) *Notice {
+	due := now.Sub(a.announced) >= p.IdleLimit/announceDivisor
+	if !p.SpreadDomains || !due || !a.meter.Busy(now) {
+		return nil
+	}
+	a.announced = now
 	_, mean := a.meter.Rates(now)
 	return &Notice{
 		Budget:  a.budget,
--- a/internal/wallet/fetch.go
+++ b/internal/wallet/fetch.go
@@ -78,11 +78,9 @@
 		return d, err
 	}
 	w.do(a, func() {
-		a.stalled = result.Outcome != ledger.Applied
 		if result.Outcome != ledger.Applied && result.Outcome != ledger.Exhausted && len(a.queue) > 0 {
 			a.refuse(merry.Errorf("draw refused: %s", result.Outcome))
 		}
-		a.grant()
 	})
 	return d, nil
 }
--- a/internal/wallet/guard_test.go
+++ b/internal/wallet/guard_test.go
@@ -83,6 +83,32 @@
 	})
 }
 
+// TestSlowDrawHoldsUpNoOneElse leaves a draw without an answer.
+func TestSlowDrawHoldsUpNoOneElse(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		f, l := newFleet(t, 1)
+		r, err := reserve(f["a"], 10_000, 100)
+		require.NoError(t, err)
+		r.Release()
+		gate := make(chan struct{})
+		l.gate = gate
+		defer close(gate)
+		large := make(chan error)
+		go func() {
+			_, err := reserve(f["a"], 10_000, 5000)
+			large <- err
+		}()
+		time.Sleep(time.Millisecond)
+		_, err = reserve(f["a"], 10_000, 10)
+		require.NoError(t, err, "served when the large one has given up")
+		require.ErrorIs(t, <-large, ErrOutOfReach)
+		start := time.Now()
+		_, err = reserve(f["a"], 10_000, 10)
+		require.NoError(t, err)
+		assert.Zero(t, time.Since(start))
+	})
+}
+
 // TestNoGiveBackWhileWaiting asks a router for tokens that waits for some
 // itself.
 func TestNoGiveBackWhileWaiting(t *testing.T) {
--- a/internal/wallet/ops.go
+++ b/internal/wallet/ops.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 
@@ -14,6 +15,9 @@
 	"example.org/lagoonfork/pkg/tokens"
 )
 
+// opTimeout bounds one try of an op. After it the op is repeated.
+const opTimeout = 5 * time.Second
+
 // errDropped reports that an account is no longer in use.
 var errDropped = errors.New("account dropped")
 
@@ -139,6 +143,8 @@
 	defer func() { err = merry.Prepend(err, "applying to the ledger") }()
 	var op ledger.Op
 	w.do(a, func() { op = *a.pending })
+	ctx, cancel := context.WithTimeout(ctx, opTimeout)
+	defer cancel()
 	result, err = w.Ledger.Apply(ctx, op)
 	w.do(a, func() {
 		a.failure = err
@@ -150,7 +156,7 @@
 		default:
 			a.uncertain, a.doubt = true, true
 		}
-		a.stalled = a.stalled || err != nil
+		a.stalled = err != nil || result.Outcome != ledger.Applied
 		a.grant()
 	})
 	if err != nil && !noEffect(err) {
--- a/internal/wallet/reservation.go
+++ b/internal/wallet/reservation.go
@@ -63,9 +63,8 @@
 		a.used = now
 		res.account = a
 		a.meter.Reserve(now, res.tokens)
-		if w.Announce != nil && policy.SpreadDomains && now.Sub(a.announced) >= policy.IdleLimit/announceDivisor {
-			a.announced = now
-			notice = a.notice(now)
+		if w.Announce != nil {
+			notice = a.notice(now, policy)
 		}
 		if (len(a.queue) == 0 || a.stalled) && a.take(res.tokens) {
 			res.epoch = a.epoch
@@ -78,10 +77,6 @@
 	return q, notice, err
 }
 
-// announceDivisor sets how many notices of a budget in use are sent before a
-// keeper that hears none would take it for idle.
-const announceDivisor = 3
-
 // await waits until q is answered or its time is over.
 func (w *Wallet) await(ctx context.Context, now time.Time, r Request, res *Reservation, q *waiter) error {
 	limit := share.NewPolicy(w.Policy()).RefusalAllowance
@@ -105,6 +100,7 @@
 }
 
 // giveUp takes q out of the queue, unless it was answered at the last moment.
+// Those behind q no longer have to wait for a draw that is so slow.
 func (w *Wallet) giveUp(res *Reservation, q *waiter, late error) (err error) {
 	a := res.account
 	w.do(a, func() {
@@ -114,10 +110,11 @@
 			res.epoch = q.epoch
 		case late != nil:
 			err = late
-		case a.exhausted:
-			err = ErrExhausted
+			a.grant()
 		default:
-			err = outOfReach(a.failure)
+			err = a.refusal(w.Clock(), w.Live(), q.tokens)
+			a.stalled = true
+			a.grant()
 		}
 	})
 	if err == nil && late != nil {
@@ -127,6 +124,16 @@
 	return err
 }
 
+// refusal tells why a reservation of n tokens was not served in time.
+func (a *account) refusal(now time.Time, live int, n tokens.Count) error {
+	s := a.state(now, live)
+	s.Least = n
+	if a.failure == nil && s.Spent() {
+		return ErrExhausted
+	}
+	return outOfReach(a.failure)
+}
+
 // outOfReach returns ErrOutOfReach with its cause.
 func outOfReach(cause error) error {
 	if cause == nil {
--- a/internal/wallet/wallet.go
+++ b/internal/wallet/wallet.go
@@ -44,7 +44,8 @@
 	// ErrExhausted reports that the budget has too few tokens left.
 	ErrExhausted = errors.New("budget exhausted")
 	// ErrOutOfReach reports that the share is used up and more could not be
-	// drawn in time, because the key-value service was out of reach or slow.
+	// drawn in time, because the key-value service, or a router that holds
+	// tokens of the budget, was out of reach or slow.
 	ErrOutOfReach = errors.New("ledger out of reach and share used up")
 	// ErrClosed reports that the wallet is closing.
 	ErrClosed = errors.New("wallet closed")
