Ask no other holder without an allowance

Cause: a refusal allowance of zero was taken for half a second, and the first draw of a small budget asked for most of it.

Change: at zero the holders of the rest are not asked, and a request waits for a draw only. A draw is sized by what it will leave.

--- a/internal/share/policy.go
+++ b/internal/share/policy.go
@@ -29,7 +29,8 @@
 	RefillLevel float64
 	// IdleLimit is how long a share may go unused before it is handed back.
 	IdleLimit time.Duration
-	// RefusalAllowance is how long a request may wait for tokens.
+	// RefusalAllowance is how long a request may wait for tokens of other
+	// holders. If it is 0 they are not asked.
 	RefusalAllowance time.Duration
 }
 
@@ -40,7 +41,6 @@
 	// keeper.
 	keepDivisor          = 10
 	defaultLifetime      = 90 * time.Second
-	defaultAllowance     = 500 * time.Millisecond
 	cautionRefill        = 0.5
 	availabilityRefill   = 0.85
 	cautionReserve       = 2.0
@@ -65,7 +65,7 @@
 // Lean returns the policy for a lean between 0, caution, and 1, availability.
 // Reach grows from nothing at caution to the share's lifetime at availability,
 // for which a holder may spend it without the key-value service. Zero
-// durations stand for 10 s, 90 s and 500 ms.
+// horizons and lifetimes stand for 10 s and 90 s.
 func Lean(lean float64, horizon, lifetime, allowance time.Duration) Policy {
 	if lifetime <= 0 {
 		lifetime = defaultLifetime
@@ -73,9 +73,6 @@
 	if horizon <= 0 {
 		horizon = defaultHorizon
 	}
-	if allowance <= 0 {
-		allowance = defaultAllowance
-	}
 	between := func(caution, availability float64) float64 {
 		return caution + lean*(availability-caution)
 	}
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -109,7 +109,9 @@
 // Plan decides what to do with a share at the time now. Waiting reservations
 // come first, then the handing back of what is idle, then refills.
 func Plan(now time.Time, s State, p Policy) Decision {
-	d := Decision{Action: ActionHold, Reason: ReasonEnough, Target: target(now, s, p)}
+	after := s
+	after.Pool -= max(s.Needed-s.Free, 0)
+	d := Decision{Action: ActionHold, Reason: ReasonEnough, Target: target(now, after, p)}
 	switch {
 	case s.Needed > s.Free:
 		return planNeeded(s, d)
--- a/internal/share/share_test.go
+++ b/internal/share/share_test.go
@@ -46,15 +46,15 @@
 		"needed": {func(s *State) { s.Needed, s.Least = 7000, 6000 },
 			Decision{Action: ActionDraw, Reason: ReasonNeeded, Want: 7000, Least: 1000, Target: 5000}},
 		"last tokens": {func(s *State) { s.Needed, s.Least, s.Pool = 7000, 6000, 2500 },
-			Decision{Action: ActionDraw, Reason: ReasonLast, Want: 2000, Least: 1000, Target: 749}},
+			Decision{Action: ActionDraw, Reason: ReasonLast, Want: 2000, Least: 1000, Target: 550}},
 		"recall the largest": {func(s *State) { s.Free, s.Needed, s.Least, s.Pool, s.Exhausted = 0, 750, 750, 50, true },
-			Decision{Action: ActionRecall, Reason: ReasonExhausted, Want: 750, Least: 750, Target: 5,
+			Decision{Action: ActionRecall, Reason: ReasonExhausted, Want: 750, Least: 750,
 				Recalls: []Recall{{Holding: holders[1], Want: 700}}}},
 		"recall more in the second round": {func(s *State) { s.Free, s.Needed, s.Least, s.Pool, s.Exhausted, s.Round = 0, 750, 750, 50, true, 1 },
-			Decision{Action: ActionRecall, Reason: ReasonExhausted, Want: 750, Least: 750, Target: 5,
+			Decision{Action: ActionRecall, Reason: ReasonExhausted, Want: 750, Least: 750,
 				Recalls: []Recall{{Holding: holders[1], Want: 700}, {Holding: holders[0], Want: 200}}}},
 		"spent": {func(s *State) { s.Free, s.Needed, s.Least, s.Pool, s.Exhausted = 0, 1051, 1051, 50, true },
-			Decision{Action: ActionRefuse, Reason: ReasonSpent, Target: 5}},
+			Decision{Action: ActionRefuse, Reason: ReasonSpent}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := inUse()
--- a/internal/wallet/fetch.go
+++ b/internal/wallet/fetch.go
@@ -95,15 +95,13 @@
 	}
 	d := share.Plan(w.Clock(), a.state(w.Clock(), w.Live()), w.policy())
 	head := a.queue[0]
-	switch {
-	case d.Action == share.ActionRefuse, d.Action == share.ActionRecall && head.rounds >= maxRounds:
+	if d.Action == share.ActionRecall && (head.rounds >= maxRounds || w.policy().RefusalAllowance <= 0) {
 		d.Action = share.ActionRefuse
-		err := ErrExhausted
-		if a.failure != nil {
-			err = outOfReach(a.failure)
-		}
-		a.refuse(err)
-	case d.Action == share.ActionRecall:
+	}
+	switch d.Action {
+	case share.ActionRefuse:
+		a.refuse(a.refusal(w.Clock(), w.Live(), head.tokens))
+	case share.ActionRecall:
 		head.rounds++
 	}
 	return d
--- a/internal/wallet/guard_test.go
+++ b/internal/wallet/guard_test.go
@@ -180,6 +180,23 @@
 	})
 }
 
+// TestNoAllowanceNoRecall refuses rather than ask others for their tokens.
+func TestNoAllowanceNoRecall(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		f, _ := newFleet(t, 2)
+		r, err := reserve(f["b"], 1000, 600)
+		require.NoError(t, err)
+		r.Release()
+		held := f["b"].Balance(budget).Free
+		f["a"].Policy = func() configuration.Policy { return configuration.Policy{} }
+		_, err = reserve(f["a"], 1000, 100)
+		require.NoError(t, err)
+		_, err = reserve(f["a"], 1000, 800)
+		require.ErrorIs(t, err, ErrOutOfReach, "b holds enough")
+		assert.Equal(t, held, f["b"].Balance(budget).Free)
+	})
+}
+
 // TestReservesInOtherDomains carries notices to a keeper.
 func TestReservesInOtherDomains(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
--- a/internal/wallet/reservation.go
+++ b/internal/wallet/reservation.go
@@ -25,9 +25,14 @@
 	ended   atomic.Bool
 }
 
+// shortestWait is how long a request may wait for a draw if the allowance for
+// recalls is shorter.
+const shortestWait = 250 * time.Millisecond
+
 // Reserve sets aside r.Tokens, from the share at once if it suffices. If not,
 // it waits until tokens have been drawn or other holders have returned some,
-// at most as long as the policy's refusal allowance and until r.Deadline. The
+// at most as long as the policy's refusal allowance, or 250 ms if that is
+// shorter, and until r.Deadline. The
 // error is that of ctx or wraps ErrExhausted, ErrOutOfReach or ErrClosed;
 // nothing is reserved then.
 func (w *Wallet) Reserve(ctx context.Context, now time.Time, r Request) (_ *Reservation, err error) {
@@ -79,7 +84,7 @@
 
 // await waits until q is answered or its time is over.
 func (w *Wallet) await(ctx context.Context, now time.Time, r Request, res *Reservation, q *waiter) error {
-	limit := share.NewPolicy(w.Policy()).RefusalAllowance
+	limit := max(w.policy().RefusalAllowance, shortestWait)
 	if !r.Deadline.IsZero() {
 		limit = min(limit, r.Deadline.Sub(now))
 	}
