--- a/internal/share/share_test.go
+++ b/internal/share/share_test.go
@@ -53,6 +53,8 @@
 		"recall more in the second round": {func(s *State) { s.Free, s.Needed, s.Least, s.Pool, s.Exhausted, s.Round = 0, 750, 750, 50, true, 1 },
 			Decision{Action: ActionRecall, Reason: ReasonExhausted, Want: 750, Least: 750,
 				Recalls: []Recall{{Holding: holders[1], Want: 700}, {Holding: holders[0], Want: 200}}}},
+		"first fits": {func(s *State) { s.Free, s.Needed, s.Least, s.Pool, s.Exhausted = 400, 1500, 400, 50, true },
+			Decision{Action: ActionHold, Reason: ReasonEnough, Target: 40}},
 		"spent": {func(s *State) { s.Free, s.Needed, s.Least, s.Pool, s.Exhausted = 0, 1051, 1051, 50, true },
 			Decision{Action: ActionRefuse, Reason: ReasonSpent}},
 	} {
--- a/internal/wallet/guard_test.go
+++ b/internal/wallet/guard_test.go
@@ -200,7 +200,7 @@
 // TestReservesInOtherDomains carries notices to a keeper.
 func TestReservesInOtherDomains(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
-		f, _ := newFleet(t, 3)
+		f, _ := newFleet(t, 4)
 		policy := configuration.Policy{ShareLifetimeSeconds: 600}
 		for _, w := range f {
 			w.Policy = func() configuration.Policy { return policy }
@@ -218,6 +218,9 @@
 		serve()
 		assert.Empty(t, notices, "at caution")
 		policy.Preference = configuration.PreferAvailability
+		f["d"].Announce = func(Notice) { assert.Fail(t, "notice of a budget that is hardly used") }
+		_, err := reserve(f["d"], 10_000_000, 100)
+		require.NoError(t, err)
 		serve()
 		serve()
 		require.NotEmpty(t, notices)
