--- a/internal/wallet/account.go
+++ b/internal/wallet/account.go
@@ -153,11 +153,9 @@
 }
 
 // refuse answers the first waiter with err.
-func (a *account) refuse(err error) (refused *waiter) {
-	refused = a.queue[0]
+func (a *account) refuse(err error) {
+	a.queue[0].done <- err
 	a.queue = append(a.queue[:0], a.queue[1:]...)
-	refused.done <- err
-	return refused
 }
 
 // leave takes q out of the queue. It reports false if q was answered.
--- a/internal/wallet/queries.go
+++ b/internal/wallet/queries.go
@@ -59,3 +59,14 @@
 		Uncertain: a.pending != nil && a.uncertain,
 	}
 }
+
+// Budget returns the budget that the tokens belong to.
+func (r *Reservation) Budget() ident.Budget {
+	return r.account.budget
+}
+
+// Tokens returns the number of tokens set aside.
+func (r *Reservation) Tokens() (n tokens.Count) {
+	r.wallet.do(r.account, func() { n = r.tokens })
+	return n
+}
--- a/internal/wallet/reservation.go
+++ b/internal/wallet/reservation.go
@@ -10,7 +10,6 @@
 
 	"example.org/lagoonfork/internal/event"
 	"example.org/lagoonfork/internal/ledger"
-	"example.org/lagoonfork/internal/share"
 	"example.org/lagoonfork/pkg/ident"
 	"example.org/lagoonfork/pkg/tokens"
 )
@@ -32,9 +31,8 @@
 // Reserve sets aside r.Tokens, from the share at once if it suffices. If not,
 // it waits until tokens have been drawn or other holders have returned some,
 // at most as long as the policy's refusal allowance, or 250 ms if that is
-// shorter, and until r.Deadline. The
-// error is that of ctx or wraps ErrExhausted, ErrOutOfReach or ErrClosed;
-// nothing is reserved then.
+// shorter, and until r.Deadline. The error wraps that of ctx, ErrExhausted,
+// ErrOutOfReach or ErrClosed; nothing is reserved then.
 func (w *Wallet) Reserve(ctx context.Context, now time.Time, r Request) (_ *Reservation, err error) {
 	res := &Reservation{wallet: w, tokens: max(r.Tokens, 0)}
 	q, notice, err := w.admit(now, r, res)
@@ -58,7 +56,7 @@
 // admit takes the tokens from the share, or returns the waiter that it put
 // into the queue.
 func (w *Wallet) admit(now time.Time, r Request, res *Reservation) (q *waiter, notice *Notice, err error) {
-	policy := share.NewPolicy(w.Policy())
+	policy := w.policy()
 	w.accounts.Do(r.Budget, func(accounts map[ident.Budget]*account) {
 		if w.closed.Load() {
 			err = ErrClosed
@@ -187,7 +185,9 @@
 }
 
 // Reduce frees all but cost before the ledger has billed it, once the cost is
-// known for certain. Settle follows.
+// known for certain; Settle follows. It is for claims that the ledger does not
+// hold open: those keep their whole bound reserved on the page, so that the
+// ledger could refuse the bills of requests that use the freed tokens.
 func (r *Reservation) Reduce(cost tokens.Count) {
 	now := r.wallet.Clock()
 	r.wallet.do(r.account, func() {
@@ -240,14 +240,3 @@
 		r.account.grant()
 	})
 }
-
-// Budget returns the budget that the tokens belong to.
-func (r *Reservation) Budget() ident.Budget {
-	return r.account.budget
-}
-
-// Tokens returns the number of tokens set aside.
-func (r *Reservation) Tokens() (n tokens.Count) {
-	r.wallet.do(r.account, func() { n = r.tokens })
-	return n
-}
