--- a/internal/wallet/fake_test.go
+++ b/internal/wallet/fake_test.go
@@ -126,3 +126,10 @@
 func reserve(w *Wallet, prepaid, n tokens.Count) (*Reservation, error) {
 	return w.Reserve(context.Background(), time.Now(), Request{Budget: budget, Funding: funding(prepaid), Tokens: n})
 }
+
+// warm lets w draw a share for a request that is not billed.
+func warm(t *testing.T, w *Wallet, prepaid, n tokens.Count) {
+	r, err := reserve(w, prepaid, n)
+	require.NoError(t, err)
+	r.Release()
+}
--- a/internal/wallet/guard_test.go
+++ b/internal/wallet/guard_test.go
@@ -44,17 +44,15 @@
 func TestNumberOfExhaustedDrawIsUsedAgain(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
 		f, l := newFleet(t, 1)
-		r, err := reserve(f["a"], 1000, 500)
-		require.NoError(t, err)
-		r.Release()
+		warm(t, f["a"], 1000, 500)
 		for range 2 {
-			_, err = reserve(f["a"], 1000, 2000)
+			_, err := reserve(f["a"], 1000, 2000)
 			require.ErrorIs(t, err, ErrExhausted)
 		}
 		n := len(l.ops)
 		assert.Equal(t, sequence(l.ops[n-2]), sequence(l.ops[n-1]))
 		require.EqualValues(t, 10, f["a"].GiveBack(context.Background(), budget, 10))
-		_, err = reserve(f["a"], 1000, 2000)
+		_, err := reserve(f["a"], 1000, 2000)
 		require.ErrorIs(t, err, ErrExhausted)
 		assert.Less(t, sequence(l.ops[n]), sequence(l.ops[n+1]))
 		assert.Less(t, sequence(l.ops[n-1]), sequence(l.ops[n]))
@@ -64,9 +62,7 @@
 func TestSmallRequestsWaitBehindLarge(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
 		f, l := newFleet(t, 1)
-		r, err := reserve(f["a"], 10_000, 100)
-		require.NoError(t, err)
-		r.Release()
+		warm(t, f["a"], 10_000, 100)
 		gate := make(chan struct{})
 		l.gate = gate
 		go func() { _, _ = reserve(f["a"], 10_000, 5000) }()
@@ -78,7 +74,7 @@
 		l.setFault(func(ledger.Op) fault { return unavailable })
 		synctest.Wait()
 		assert.Equal(t, 1, f["a"].Balance(budget).Waiting, "the small one is served once the draw has failed")
-		_, err = reserve(f["a"], 10_000, 50)
+		_, err := reserve(f["a"], 10_000, 50)
 		assert.NoError(t, err)
 	})
 }
@@ -87,9 +83,7 @@
 func TestSlowDrawHoldsUpNoOneElse(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
 		f, l := newFleet(t, 1)
-		r, err := reserve(f["a"], 10_000, 100)
-		require.NoError(t, err)
-		r.Release()
+		warm(t, f["a"], 10_000, 100)
 		gate := make(chan struct{})
 		l.gate = gate
 		defer close(gate)
@@ -99,7 +93,7 @@
 			large <- err
 		}()
 		time.Sleep(time.Millisecond)
-		_, err = reserve(f["a"], 10_000, 10)
+		_, err := reserve(f["a"], 10_000, 10)
 		require.NoError(t, err, "served when the large one has given up")
 		require.ErrorIs(t, <-large, ErrOutOfReach)
 		start := time.Now()
@@ -139,9 +133,7 @@
 func TestReturnLearnsThatShareIsGone(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
 		f, l := newFleet(t, 1)
-		r, err := reserve(f["a"], 1000, 300)
-		require.NoError(t, err)
-		r.Release()
+		warm(t, f["a"], 1000, 300)
 		_, _ = l.Apply(context.Background(), ledger.Op{Reclaim: &ledger.Reclaim{Holder: "a"}})
 		assert.Zero(t, f["a"].GiveBack(context.Background(), budget, 100))
 		assert.Zero(t, f["a"].Balance(budget).Free)
@@ -184,12 +176,10 @@
 func TestNoAllowanceNoRecall(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
 		f, _ := newFleet(t, 2)
-		r, err := reserve(f["b"], 1000, 600)
-		require.NoError(t, err)
-		r.Release()
+		warm(t, f["b"], 1000, 600)
 		held := f["b"].Balance(budget).Free
 		f["a"].Policy = func() configuration.Policy { return configuration.Policy{} }
-		_, err = reserve(f["a"], 1000, 100)
+		_, err := reserve(f["a"], 1000, 100)
 		require.NoError(t, err)
 		_, err = reserve(f["a"], 1000, 800)
 		require.ErrorIs(t, err, ErrOutOfReach, "b holds enough")
--- a/internal/wallet/wallet_test.go
+++ b/internal/wallet/wallet_test.go
@@ -66,10 +66,8 @@
 func TestLastTokensAndRecall(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
 		f, l := newFleet(t, 3)
-		r, err := reserve(f["a"], 1000, 300)
-		require.NoError(t, err)
-		r.Release()
-		r, err = reserve(f["b"], 1000, 300)
+		warm(t, f["a"], 1000, 300)
+		r, err := reserve(f["b"], 1000, 300)
 		require.NoError(t, err)
 		r.Release()
 		_, err = reserve(f["c"], 1000, 1000)
@@ -83,11 +81,9 @@
 func TestStoreOutage(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
 		f, l := newFleet(t, 1)
-		r, err := reserve(f["a"], 100_000, 100)
-		require.NoError(t, err)
-		r.Release()
+		warm(t, f["a"], 100_000, 100)
 		l.setFault(func(ledger.Op) fault { return unavailable })
-		_, err = reserve(f["a"], 100_000, 100)
+		_, err := reserve(f["a"], 100_000, 100)
 		require.NoError(t, err, "the share serves during the outage")
 		_, err = reserve(f["a"], 100_000, 90_000)
 		require.ErrorIs(t, err, ErrOutOfReach)
@@ -126,9 +122,7 @@
 func TestUnknownReturnWithholdsTokens(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
 		f, l := newFleet(t, 1)
-		r, err := reserve(f["a"], 1000, 400)
-		require.NoError(t, err)
-		r.Release()
+		warm(t, f["a"], 1000, 400)
 		l.setFault(func(ledger.Op) fault { return lostAfter })
 		require.Zero(t, f["a"].GiveBack(context.Background(), budget, 300))
 		assert.Equal(t, l.share("a").Granted, f["a"].Balance(budget).Free)
@@ -247,12 +241,10 @@
 func TestCloseReturnsAll(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
 		f, l := newFleet(t, 1)
-		r, err := reserve(f["a"], 1000, 100)
-		require.NoError(t, err)
-		r.Release()
+		warm(t, f["a"], 1000, 100)
 		require.NoError(t, f["a"].Close(context.Background()))
 		assert.Zero(t, l.share("a").Granted)
-		_, err = reserve(f["a"], 1000, 100)
+		_, err := reserve(f["a"], 1000, 100)
 		require.ErrorIs(t, err, ErrClosed)
 	})
 }
