--- a/internal/wallet/account.go
+++ b/internal/wallet/account.go
@@ -153,11 +153,9 @@
 }
 
 // refuse answers the first waiter with err.
-func (a *account) refuse(err error) (refused *waiter) {
-	refused = a.queue[0]
+func (a *account) refuse(err error) {
+	a.queue[0].done <- err
 	a.queue = append(a.queue[:0], a.queue[1:]...)
-	refused.done <- err
-	return refused
 }
 
 // leave takes q out of the queue. It reports false if q was answered.
@@ -195,8 +193,18 @@
 	return s
 }
 
-// notice tells the keepers that the budget is in use.
-func (a *account) notice(now time.Time) *Notice {
+// announceDivisor sets how many notices of a budget in use are sent before a
+// keeper that hears none would take it for idle.
+const announceDivisor = 3
+
+// notice returns the notice to the keepers that the budget is in use, or nil
+// if none is due.
+func (a *account) notice(now time.Time, p share.Policy) *Notice {
+	due := now.Sub(a.announced) >= p.IdleLimit/announceDivisor
+	if !p.SpreadDomains || !due || !a.meter.Busy(now) {
+		return nil
+	}
+	a.announced = now
 	_, mean := a.meter.Rates(now)
 	return &Notice{
 		Budget:  a.budget,
--- a/internal/wallet/fetch.go
+++ b/internal/wallet/fetch.go
@@ -20,7 +20,7 @@
 	firstPause   = 10 * time.Millisecond
 	longestPause = 200 * time.Millisecond
 	// maxRounds is how often other holders are asked for one reservation.
-	maxRounds = 6
+	maxRounds = 10
 )
 
 // startFetch starts the goroutine that draws for the queue, if there is none.
@@ -78,11 +78,9 @@
 		return d, err
 	}
 	w.do(a, func() {
-		a.stalled = result.Outcome != ledger.Applied
 		if result.Outcome != ledger.Applied && result.Outcome != ledger.Exhausted && len(a.queue) > 0 {
 			a.refuse(merry.Errorf("draw refused: %s", result.Outcome))
 		}
-		a.grant()
 	})
 	return d, nil
 }
@@ -97,15 +95,13 @@
 	}
 	d := share.Plan(w.Clock(), a.state(w.Clock(), w.Live()), w.policy())
 	head := a.queue[0]
-	switch {
-	case d.Action == share.ActionRefuse, d.Action == share.ActionRecall && head.rounds >= maxRounds:
+	if d.Action == share.ActionRecall && (head.rounds >= maxRounds || w.policy().RefusalAllowance <= 0) {
 		d.Action = share.ActionRefuse
-		err := ErrExhausted
-		if a.failure != nil {
-			err = outOfReach(a.failure)
-		}
-		a.refuse(err)
-	case d.Action == share.ActionRecall:
+	}
+	switch d.Action {
+	case share.ActionRefuse:
+		a.refuse(a.refusal(w.Clock(), w.Live(), head.tokens))
+	case share.ActionRecall:
 		head.rounds++
 	}
 	return d
--- a/internal/wallet/guard_test.go
+++ b/internal/wallet/guard_test.go
@@ -44,17 +44,15 @@
 func TestNumberOfExhaustedDrawIsUsedAgain(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
 		f, l := newFleet(t, 1)
-		r, err := reserve(f["a"], 1000, 500)
-		require.NoError(t, err)
-		r.Release()
+		warm(t, f["a"], 1000, 500)
 		for range 2 {
-			_, err = reserve(f["a"], 1000, 2000)
+			_, err := reserve(f["a"], 1000, 2000)
 			require.ErrorIs(t, err, ErrExhausted)
 		}
 		n := len(l.ops)
 		assert.Equal(t, sequence(l.ops[n-2]), sequence(l.ops[n-1]))
 		require.EqualValues(t, 10, f["a"].GiveBack(context.Background(), budget, 10))
-		_, err = reserve(f["a"], 1000, 2000)
+		_, err := reserve(f["a"], 1000, 2000)
 		require.ErrorIs(t, err, ErrExhausted)
 		assert.Less(t, sequence(l.ops[n]), sequence(l.ops[n+1]))
 		assert.Less(t, sequence(l.ops[n-1]), sequence(l.ops[n]))
@@ -64,9 +62,7 @@
 func TestSmallRequestsWaitBehindLarge(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
 		f, l := newFleet(t, 1)
-		r, err := reserve(f["a"], 10_000, 100)
-		require.NoError(t, err)
-		r.Release()
+		warm(t, f["a"], 10_000, 100)
 		gate := make(chan struct{})
 		l.gate = gate
 		go func() { _, _ = reserve(f["a"], 10_000, 5000) }()
@@ -78,11 +74,35 @@
 		l.setFault(func(ledger.Op) fault { return unavailable })
 		synctest.Wait()
 		assert.Equal(t, 1, f["a"].Balance(budget).Waiting, "the small one is served once the draw has failed")
-		_, err = reserve(f["a"], 10_000, 50)
+		_, err := reserve(f["a"], 10_000, 50)
 		assert.NoError(t, err)
 	})
 }
 
+// TestSlowDrawHoldsUpNoOneElse leaves a draw without an answer.
+func TestSlowDrawHoldsUpNoOneElse(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		f, l := newFleet(t, 1)
+		warm(t, f["a"], 10_000, 100)
+		gate := make(chan struct{})
+		l.gate = gate
+		defer close(gate)
+		large := make(chan error)
+		go func() {
+			_, err := reserve(f["a"], 10_000, 5000)
+			large <- err
+		}()
+		time.Sleep(time.Millisecond)
+		_, err := reserve(f["a"], 10_000, 10)
+		require.NoError(t, err, "served when the large one has given up")
+		require.ErrorIs(t, <-large, ErrOutOfReach)
+		start := time.Now()
+		_, err = reserve(f["a"], 10_000, 10)
+		require.NoError(t, err)
+		assert.Zero(t, time.Since(start))
+	})
+}
+
 // TestNoGiveBackWhileWaiting asks a router for tokens that waits for some
 // itself.
 func TestNoGiveBackWhileWaiting(t *testing.T) {
@@ -113,9 +133,7 @@
 func TestReturnLearnsThatShareIsGone(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
 		f, l := newFleet(t, 1)
-		r, err := reserve(f["a"], 1000, 300)
-		require.NoError(t, err)
-		r.Release()
+		warm(t, f["a"], 1000, 300)
 		_, _ = l.Apply(context.Background(), ledger.Op{Reclaim: &ledger.Reclaim{Holder: "a"}})
 		assert.Zero(t, f["a"].GiveBack(context.Background(), budget, 100))
 		assert.Zero(t, f["a"].Balance(budget).Free)
@@ -154,10 +172,25 @@
 	})
 }
 
+// TestNoAllowanceNoRecall refuses rather than ask others for their tokens.
+func TestNoAllowanceNoRecall(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		f, _ := newFleet(t, 2)
+		warm(t, f["b"], 1000, 600)
+		held := f["b"].Balance(budget).Free
+		f["a"].Policy = func() configuration.Policy { return configuration.Policy{} }
+		_, err := reserve(f["a"], 1000, 100)
+		require.NoError(t, err)
+		_, err = reserve(f["a"], 1000, 800)
+		require.ErrorIs(t, err, ErrOutOfReach, "b holds enough")
+		assert.Equal(t, held, f["b"].Balance(budget).Free)
+	})
+}
+
 // TestReservesInOtherDomains carries notices to a keeper.
 func TestReservesInOtherDomains(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
-		f, _ := newFleet(t, 3)
+		f, _ := newFleet(t, 4)
 		policy := configuration.Policy{ShareLifetimeSeconds: 600}
 		for _, w := range f {
 			w.Policy = func() configuration.Policy { return policy }
@@ -175,6 +208,9 @@
 		serve()
 		assert.Empty(t, notices, "at caution")
 		policy.Preference = configuration.PreferAvailability
+		f["d"].Announce = func(Notice) { assert.Fail(t, "notice of a budget that is hardly used") }
+		_, err := reserve(f["d"], 10_000_000, 100)
+		require.NoError(t, err)
 		serve()
 		serve()
 		require.NotEmpty(t, notices)
--- a/internal/wallet/reservation.go
+++ b/internal/wallet/reservation.go
@@ -10,7 +10,6 @@
 
 	"example.org/lagoonfork/internal/event"
 	"example.org/lagoonfork/internal/ledger"
-	"example.org/lagoonfork/internal/share"
 	"example.org/lagoonfork/pkg/ident"
 	"example.org/lagoonfork/pkg/tokens"
 )
@@ -25,11 +24,15 @@
 	ended   atomic.Bool
 }
 
+// shortestWait is how long a request may wait for a draw if the allowance for
+// recalls is shorter.
+const shortestWait = 250 * time.Millisecond
+
 // Reserve sets aside r.Tokens, from the share at once if it suffices. If not,
 // it waits until tokens have been drawn or other holders have returned some,
-// at most as long as the policy's refusal allowance and until r.Deadline. The
-// error is that of ctx or wraps ErrExhausted, ErrOutOfReach or ErrClosed;
-// nothing is reserved then.
+// at most as long as the policy's refusal allowance, or 250 ms if that is
+// shorter, and until r.Deadline. The error wraps that of ctx, ErrExhausted,
+// ErrOutOfReach or ErrClosed; nothing is reserved then.
 func (w *Wallet) Reserve(ctx context.Context, now time.Time, r Request) (_ *Reservation, err error) {
 	res := &Reservation{wallet: w, tokens: max(r.Tokens, 0)}
 	q, notice, err := w.admit(now, r, res)
@@ -53,7 +56,7 @@
 // admit takes the tokens from the share, or returns the waiter that it put
 // into the queue.
 func (w *Wallet) admit(now time.Time, r Request, res *Reservation) (q *waiter, notice *Notice, err error) {
-	policy := share.NewPolicy(w.Policy())
+	policy := w.policy()
 	w.accounts.Do(r.Budget, func(accounts map[ident.Budget]*account) {
 		if w.closed.Load() {
 			err = ErrClosed
@@ -63,9 +66,8 @@
 		a.used = now
 		res.account = a
 		a.meter.Reserve(now, res.tokens)
-		if w.Announce != nil && policy.SpreadDomains && now.Sub(a.announced) >= policy.IdleLimit/announceDivisor {
-			a.announced = now
-			notice = a.notice(now)
+		if w.Announce != nil {
+			notice = a.notice(now, policy)
 		}
 		if (len(a.queue) == 0 || a.stalled) && a.take(res.tokens) {
 			res.epoch = a.epoch
@@ -78,13 +80,9 @@
 	return q, notice, err
 }
 
-// announceDivisor sets how many notices of a budget in use are sent before a
-// keeper that hears none would take it for idle.
-const announceDivisor = 3
-
 // await waits until q is answered or its time is over.
 func (w *Wallet) await(ctx context.Context, now time.Time, r Request, res *Reservation, q *waiter) error {
-	limit := share.NewPolicy(w.Policy()).RefusalAllowance
+	limit := max(w.policy().RefusalAllowance, shortestWait)
 	if !r.Deadline.IsZero() {
 		limit = min(limit, r.Deadline.Sub(now))
 	}
@@ -105,6 +103,7 @@
 }
 
 // giveUp takes q out of the queue, unless it was answered at the last moment.
+// Those behind q no longer have to wait for a draw that is so slow.
 func (w *Wallet) giveUp(res *Reservation, q *waiter, late error) (err error) {
 	a := res.account
 	w.do(a, func() {
@@ -114,10 +113,11 @@
 			res.epoch = q.epoch
 		case late != nil:
 			err = late
-		case a.exhausted:
-			err = ErrExhausted
+			a.grant()
 		default:
-			err = outOfReach(a.failure)
+			err = a.refusal(w.Clock(), w.Live(), q.tokens)
+			a.stalled = true
+			a.grant()
 		}
 	})
 	if err == nil && late != nil {
@@ -127,6 +127,16 @@
 	return err
 }
 
+// refusal tells why a reservation of n tokens was not served in time.
+func (a *account) refusal(now time.Time, live int, n tokens.Count) error {
+	s := a.state(now, live)
+	s.Least = n
+	if a.failure == nil && s.Spent() {
+		return ErrExhausted
+	}
+	return outOfReach(a.failure)
+}
+
 // outOfReach returns ErrOutOfReach with its cause.
 func outOfReach(cause error) error {
 	if cause == nil {
@@ -175,7 +185,9 @@
 }
 
 // Reduce frees all but cost before the ledger has billed it, once the cost is
-// known for certain. Settle follows.
+// known for certain; Settle follows. It is for claims that the ledger does not
+// hold open: those keep their whole bound reserved on the page, so that the
+// ledger could refuse the bills of requests that use the freed tokens.
 func (r *Reservation) Reduce(cost tokens.Count) {
 	now := r.wallet.Clock()
 	r.wallet.do(r.account, func() {
@@ -228,14 +240,3 @@
 		r.account.grant()
 	})
 }
-
-// Budget returns the budget that the tokens belong to.
-func (r *Reservation) Budget() ident.Budget {
-	return r.account.budget
-}
-
-// Tokens returns the number of tokens set aside.
-func (r *Reservation) Tokens() (n tokens.Count) {
-	r.wallet.do(r.account, func() { n = r.tokens })
-	return n
-}
