Never take an answer with several choices as whole

Cause: tokens of a second choice carry no number of their own and were dropped without notice. Callers that left were logged as lost streams. Change: such a stream is not whole; event 359 for streams that the router itself leaves; plainclient.Retain forgets upstreams without cutting a call.

--- a/internal/engineclient/client_test.go
+++ b/internal/engineclient/client_test.go
@@ -194,6 +194,17 @@
 	}
 }
 
+// TestResumedAtTheExactToken has a connection go silent after its seventh token.
+func TestResumedAtTheExactToken(t *testing.T) {
+	b := newBench(t, fake.Settings{TokenPace: time.Millisecond})
+	b.engine.SetFaults(fake.Faults{SilentAfter: 7})
+	prompt := fake.WithLength("findings", 20)
+	assertWhole(t, b.run(t, runOf("exact", prompt, 20)), prompt, 20)
+	assert.Contains(t, b.log.String(), "stream resumed: event=350 request=r-exact attempt=a-exact upstream=e1 after=7 count=1")
+	assert.Equal(t, 1, strings.Count(b.log.String(), "stream resumed"))
+	assert.EqualValues(t, 20, b.engine.TokensGenerated())
+}
+
 func TestErrorsOfStart(t *testing.T) {
 	tests := []struct {
 		name       string
@@ -392,6 +403,8 @@
 	require.ErrorIs(t, err, context.Canceled)
 	_, again := s.Next(t.Context())
 	assert.Equal(t, err, again)
+	assert.Contains(t, b.log.String(), "stream left")
+	assert.NotContains(t, b.log.String(), "stream lost")
 }
 
 func TestClosedClient(t *testing.T) {
--- a/internal/engineclient/recovery.go
+++ b/internal/engineclient/recovery.go
@@ -100,6 +100,7 @@
 	return errors.Is(err, ErrLost) || errors.Is(err, ErrCrossed) || errors.Is(err, ErrCrashed)
 }
 
+// givenUp reports whether the stream ends from this side.
 func (s *Stream) givenUp() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -133,8 +134,13 @@
 }
 
 func (s *Stream) lost(cause error) error {
-	event.StreamLost.Warn(s.client.settings.Log, "request", s.run.Request, "attempt", s.run.Attempt,
-		"upstream", s.upstream.ID, "received", s.received, "cause", cause.Error())
+	args := []any{"request", s.run.Request, "attempt", s.run.Attempt, "upstream", s.upstream.ID,
+		"received", s.received, "cause", cause.Error()}
+	if s.givenUp() {
+		event.StreamLeft.Info(s.client.settings.Log, args...)
+	} else {
+		event.StreamLost.Warn(s.client.settings.Log, args...)
+	}
 	return fmt.Errorf("%w: %w", ErrLost, cause)
 }
 
--- a/internal/engineclient/script_test.go
+++ b/internal/engineclient/script_test.go
@@ -60,6 +60,8 @@
 		{"text without a number", one + strings.TrimPrefix(two, "id: 2\n") + stop + done, "one ", engineclient.ErrLost},
 		{"number that is none", one + strings.Replace(two, "id: 2", "id: two", 1) + stop + done, "one ", engineclient.ErrLost},
 		{"too many tokens in the usage", stop + usage1 + done, "", engineclient.ErrLost},
+		{"second choice", one + strings.Replace(two, `{"delta"`, `{"index":1,"delta"`, 1) + stop + done, "one ", engineclient.ErrLost},
+		{"two choices", one + strings.Replace(two, `}]}`, `},{"delta":{"content":"2 "}}]}`, 1) + stop + done, "one ", engineclient.ErrLost},
 		{"error in the stream", one + `data: {"id":"a-s","error":{"message":"out of memory"}}` + "\n\n", "one ", engineclient.ErrLost},
 		{"not JSON", one + "data: {\n\n", "one ", engineclient.ErrLost},
 		{"no attempt", one + strings.Replace(two, `"id":"a-s",`, "", 1), "one ", engineclient.ErrCrossed},
--- a/internal/engineclient/stream.go
+++ b/internal/engineclient/stream.go
@@ -27,6 +27,9 @@
 	errSilent    = errors.New("connection silent")
 	errTruncated = errors.New("stream ended early")
 	errDisorder  = errors.New("tokens out of order")
+	// errAlternative reports an answer with several choices, whose tokens
+	// cannot be numbered.
+	errAlternative = errors.New("more than one choice")
 )
 
 // Reasons why a stream is given up.
@@ -163,6 +166,9 @@
 	finished := s.finish != ""
 	if len(chunk.Choices) > 0 {
 		choice := &chunk.Choices[0]
+		if len(chunk.Choices) > 1 || choice.Index != 0 {
+			return engine.Event{}, errAlternative
+		}
 		e.Text = choice.Delta.Content
 		if choice.FinishReason != nil {
 			s.finish = *choice.FinishReason
--- a/internal/event/engine.go
+++ b/internal/event/engine.go
@@ -6,7 +6,7 @@
 		"A stream's connection broke or went silent and the answer is fetched from the last token on. "+
 			"Many of these for one upstream point to a network path that loses connections.")
 	StreamLost = define(351, "stream lost",
-		"An answer could not be read to its end. The request may have run.")
+		"An answer could not be read to its end, although its caller waits for it. The request may have run.")
 	AnswerCrossed = define(352, "answer crossed",
 		"An upstream sent an answer of another attempt. Nothing of it was delivered. "+
 			"Report the upstream to those who run it.")
@@ -22,4 +22,6 @@
 		"The response of a plain service is out of reach. The call may have run.")
 	ResponseCrossed = define(358, "response crossed",
 		"A plain service sent the response of another attempt. Nothing of it was delivered.")
+	StreamLeft = define(359, "stream left",
+		"The router stopped reading an answer: its caller is gone, its deadline has passed, or the router is closing.")
 )
--- a/internal/fake/plainservice/service.go
+++ b/internal/fake/plainservice/service.go
@@ -128,6 +128,13 @@
 	return s.executions[string(request)]
 }
 
+// Running returns the number of calls in progress.
+func (s *Service) Running() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.running
+}
+
 // TotalExecutions returns how many calls were executed.
 func (s *Service) TotalExecutions() int {
 	s.mu.Lock()
--- a/internal/plainclient/client.go
+++ b/internal/plainclient/client.go
@@ -109,6 +109,30 @@
 	return true
 }
 
+// Retain forgets all upstreams but the given ones. It is called when the
+// upstreams change. Calls in progress go on; their connections are closed once
+// they have been idle for the silence limit.
+func (c *Client) Retain(ups []configuration.Upstream) {
+	kept := make(map[address]bool, len(ups))
+	for _, up := range ups {
+		kept[address(up.Address.String())] = true
+	}
+	var gone []address
+	c.transports.Each(func(key address, _ *transport.Transport) {
+		if !kept[key] {
+			gone = append(gone, key)
+		}
+	})
+	for _, key := range gone {
+		c.transports.Do(key, func(entries map[address]*transport.Transport) {
+			if t := entries[key]; t != nil {
+				t.DropIdle()
+			}
+			delete(entries, key)
+		})
+	}
+}
+
 func (c *Client) transport(up configuration.Upstream) (t *transport.Transport) {
 	key := address(up.Address.String())
 	c.transports.Do(key, func(entries map[address]*transport.Transport) {
--- a/internal/plainclient/client_test.go
+++ b/internal/plainclient/client_test.go
@@ -106,6 +106,23 @@
 	}
 }
 
+func TestRetainCutsNoCall(t *testing.T) {
+	b := newBench(t, time.Minute)
+	b.service.SetFaults(plainservice.Faults{Slow: 50 * time.Millisecond})
+	answered := make(chan error, 1)
+	go func() {
+		_, err := b.client.Forward(context.Background(), b.upstream, call(true))
+		answered <- err
+	}()
+	for b.service.Running() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	b.client.Retain(nil)
+	require.NoError(t, <-answered)
+	_, err := b.client.Forward(t.Context(), b.upstream, call(true))
+	require.NoError(t, err)
+}
+
 func TestStatusWithoutPromiseIsPassedOn(t *testing.T) {
 	b := newBench(t, time.Minute)
 	b.service.SetFaults(plainservice.Faults{Unavailable: true})
