Test a return of a share in doubt beside a reservation

Cause: the guard that spares reservations when a whole share is handed back was held by the order of goroutines in a schedule only; without it one of two runs passed.

Change: a test of its own.

Conclusion: it fails without the guard.

--- a/internal/wallet/guard_test.go
+++ b/internal/wallet/guard_test.go
@@ -41,6 +41,25 @@
 	})
 }
 
+// TestGiveBackSparesReservations asks for more than is free, of a share whose
+// size in the ledger is in doubt.
+func TestGiveBackSparesReservations(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		f, l := newFleet(t, 1)
+		lost := lostAfter
+		l.setFault(func(ledger.Op) (f fault) {
+			f, lost = lost, healthy
+			return f
+		})
+		r, err := reserve(f["a"], 1000, 100)
+		require.NoError(t, err)
+		free := f["a"].Balance(budget).Free
+		assert.Equal(t, free, f["a"].GiveBack(context.Background(), budget, 1<<30))
+		require.Equal(t, ledger.Applied, bill(l, "a", "1", 100, 100))
+		r.Settle(100)
+	})
+}
+
 func TestNumberOfExhaustedDrawIsUsedAgain(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
 		f, l := newFleet(t, 1)
