Derive the lifetime of shares from the preference

Cause: the default of 30 s made availability no longer than a short partition, whatever the preference; the measurements of shares use 90 s and 900 s. Change: 0, the default, stands for 90 s under caution and 900 s under availability; the retention of keyed claims is 600 s by default, since a page of 1 MB bounds their number.

--- a/pkg/answers/answers.go
+++ b/pkg/answers/answers.go
@@ -54,8 +54,8 @@
 	Preference             configuration.Preference `json:"preference" default:"caution" oneof:"caution|availability"`
 	LedgerPages            int                      `json:"ledgerPages" default:"64" min:"1" max:"4096" unit:"pages"`
 	RefillHorizonSeconds   int                      `json:"refillHorizonSeconds" default:"10" min:"1" max:"3600" unit:"seconds"`
-	ShareLifetimeSeconds   int                      `json:"shareLifetimeSeconds" default:"30" min:"5" max:"3600" unit:"seconds"`
-	ClaimRetentionSeconds  int                      `json:"claimRetentionSeconds" default:"3600" min:"60" max:"86400" unit:"seconds"`
+	ShareLifetimeSeconds   int                      `json:"shareLifetimeSeconds" default:"0" min:"0" max:"3600" unit:"seconds"`
+	ClaimRetentionSeconds  int                      `json:"claimRetentionSeconds" default:"600" min:"60" max:"86400" unit:"seconds"`
 	SilenceLimitMillis     int                      `json:"silenceLimitMillis" default:"10000" min:"100" max:"600000" unit:"milliseconds"`
 	RefusalAllowanceMillis int                      `json:"refusalAllowanceMillis" default:"500" min:"0" max:"30000" unit:"milliseconds"`
 	CrashLimit             int                      `json:"crashLimit" default:"2" min:"1" max:"100" unit:"crashes"`
