Publish figures by expvar, and record a release before the refusal

Cause: operators had logs but no figures; and a non-idempotent call that was certainly not run was refused with notRun before its claim was released, so that the caller's next try at another router met the claim and was told that the outcome is unknown. Conclusion: the lifetime of shares now follows the preference in the generator.

--- a/cmd/lagoonfork/router.go
+++ b/cmd/lagoonfork/router.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"expvar"
 	"fmt"
 	"os"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"example.org/lagoonfork/internal/etcd"
+	"example.org/lagoonfork/internal/metrics"
 	"example.org/lagoonfork/internal/router"
 	"example.org/lagoonfork/internal/settings"
 	"example.org/lagoonfork/internal/vmlist"
@@ -43,6 +45,7 @@
 	if err != nil {
 		return err
 	}
+	expvar.Publish(metrics.Name, r.Metrics().Map())
 	select {
 	case <-ctx.Done():
 	case <-r.Done():
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -86,6 +86,7 @@
 		return outcome{}, err
 	}
 	up := decision.Upstream
+	x.d.Metrics.Attempt(n > 1)
 	x.tried = append(x.tried, up.ID)
 	if x.r.Keyed && x.r.Idempotent {
 		x.openClaim(up.ID)
@@ -108,6 +109,7 @@
 		x.mayHaveRun = true
 	}
 	if errors.Is(err, engineclient.ErrCrashed) {
+		x.d.Metrics.Crash()
 		event.RequestAccused.Warn(x.d.Log, "upstream", up.ID, "request", x.r.ID)
 		x.d.Quarantine.Accuse(x.d.Clock(), x.r.content(), up.ID)
 		x.service.Table.Forget(up.ID)
--- a/internal/dispatch/claim.go
+++ b/internal/dispatch/claim.go
@@ -127,7 +127,9 @@
 	return x.withoutClaim()
 }
 
-// releaseClaim ends the claim without a bill and frees the reservation.
+// releaseClaim ends the claim without a bill and frees the reservation. It waits
+// a while until that is recorded, so that the caller's next try finds no trace
+// of this one.
 func (x *run) releaseClaim(uncertain bool) {
 	reservation := x.reservation
 	if x.claim.opened == nil && !x.claim.taken {
@@ -140,7 +142,17 @@
 		Attempt:   x.attempt,
 		Uncertain: uncertain,
 	}}
-	x.d.Ledger.Push(op, func(ledger.Result) { reservation.Release() })
+	released := make(chan struct{})
+	x.d.Ledger.Push(op, func(ledger.Result) {
+		reservation.Release()
+		close(released)
+	})
+	timer := time.NewTimer(settleAllowance)
+	defer timer.Stop()
+	select {
+	case <-released:
+	case <-timer.C:
+	}
 }
 
 // settle bills the request and returns the answer's end once the bill cannot
@@ -217,6 +229,7 @@
 		}
 		r = <-x.push(bill)
 	}
+	x.d.Metrics.BillRejected()
 	event.BillRejected.Warn(x.d.Log, "request", x.r.ID, "outcome", r.Outcome)
 	return refused(refusal.Ran(refusal.Superseded,
 		"the request was taken over by another router or its share was reclaimed").After(retrySoon))
@@ -240,6 +253,7 @@
 		return false
 	}
 	x.d.Ledger.Push(op, func(ledger.Result) {})
+	x.d.Metrics.BillHeld()
 	event.BillHeld.Info(x.d.Log, "request", x.r.ID)
 	x.record("settle", "held by routers in two other failure domains")
 	return true
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -35,6 +35,7 @@
 	"example.org/lagoonfork/internal/engineclient"
 	"example.org/lagoonfork/internal/journal"
 	"example.org/lagoonfork/internal/ledger"
+	"example.org/lagoonfork/internal/metrics"
 	"example.org/lagoonfork/internal/plainclient"
 	"example.org/lagoonfork/internal/quarantine"
 	"example.org/lagoonfork/internal/replay"
@@ -75,6 +76,7 @@
 	// enough to deliver an answer on the word of other routers.
 	MayDeliver func(now time.Time) bool
 	Journal    *journal.Journal
+	Metrics    *metrics.Metrics
 	Clock      func() time.Time
 	Log        hclog.Logger
 }
--- a/internal/dispatch/existing.go
+++ b/internal/dispatch/existing.go
@@ -83,6 +83,7 @@
 	if result.Outcome != ledger.Applied {
 		return result.Claim, false
 	}
+	x.d.Metrics.TakeOver()
 	x.record("claim", "taken over from "+string(c.Holder))
 	x.reservation = x.d.Wallet.Adopt(x.d.Clock(), x.r.Budget.ID, x.funding(), c.Reserved)
 	x.claim = claim{taken: true, settled: true}
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -161,10 +161,12 @@
 
 func (x *run) logEnd(end *End) {
 	if r := end.Refusal; r != nil {
+		x.d.Metrics.Refused(r.Code)
 		event.RequestRefused.Info(x.d.Log, "request", x.r.ID, "customer", x.r.Customer,
 			"code", r.Code, "notRun", r.NotRun, "message", r.Message)
 		return
 	}
+	x.d.Metrics.Served(end.Cost)
 	event.RequestServed.Info(x.d.Log, "request", x.r.ID, "customer", x.r.Customer,
 		"budget", x.r.Budget.ID, "upstream", end.Upstream, "cost", end.Cost)
 }
--- a/internal/embedded/bench_test.go
+++ b/internal/embedded/bench_test.go
@@ -159,4 +159,3 @@
 	runtime.ReadMemStats(&m)
 	return int64(m.HeapAlloc + m.StackInuse)
 }
-
--- a/internal/generator/generator.go
+++ b/internal/generator/generator.go
@@ -36,13 +36,20 @@
 	return configuration.Configuration{
 		Revision:      revision,
 		AnswersDigest: digest,
-		Policy:        configuration.Policy(a.Policy),
+		Policy:        policy(a.Policy),
 		Customers:     customers(a),
 		Budgets:       budgets(a, revision, previous),
 		Services:      services(a),
 	}, nil
 }
 
+// policy fills in what the answers leave to the preference.
+func policy(p answers.Policy) configuration.Policy {
+	c := configuration.Policy(p)
+	c.ShareLifetimeSeconds = p.EffectiveLifetimeSeconds()
+	return c
+}
+
 func customers(a answers.Answers) []configuration.Customer {
 	list := make([]configuration.Customer, 0, len(a.Customers))
 	for _, c := range a.Customers {
--- a/internal/peerapi/peerapi.go
+++ b/internal/peerapi/peerapi.go
@@ -12,6 +12,7 @@
 	"encoding/json"
 	"errors"
 	"expvar"
+	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -26,6 +27,7 @@
 	"example.org/lagoonfork/internal/journal"
 	"example.org/lagoonfork/internal/ledger"
 	"example.org/lagoonfork/internal/manifest"
+	"example.org/lagoonfork/internal/metrics"
 	"example.org/lagoonfork/internal/peerclient"
 	"example.org/lagoonfork/internal/replay"
 	"example.org/lagoonfork/internal/routing"
@@ -46,6 +48,7 @@
 	Ledger        Ledger
 	Directory     *directory.Directory
 	Journal       *journal.Journal
+	Metrics       *metrics.Metrics
 	Status        func() peerclient.Status
 	Configuration Configuration
 	Clock         func() time.Time
@@ -85,6 +88,7 @@
 	h.mux.HandleFunc(pat.Get(peerclient.PathRequests+":request"), h.request)
 	h.mux.HandleFunc(pat.Get(peerclient.PathHead), h.head)
 	h.mux.HandleFunc(pat.Get(peerclient.PathParts+":digest"), h.part)
+	h.mux.HandleFunc(pat.Get(peerclient.PathMetrics), h.metrics)
 	h.mux.Handle(pat.Get("/debug/vars"), expvar.Handler())
 	return h
 }
@@ -219,6 +223,11 @@
 	reply(w, rows)
 }
 
+func (h *Handler) metrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = io.WriteString(w, h.Metrics.Map().String()) // the peer may have gone
+}
+
 func (h *Handler) request(w http.ResponseWriter, r *http.Request) {
 	entries := h.Journal.Find(ident.Request(pat.Param(r, "request")))
 	if entries == nil {
--- a/internal/peerclient/peerclient.go
+++ b/internal/peerclient/peerclient.go
@@ -46,6 +46,7 @@
 	PathLedger    = "/peer/v1/ledger/"
 	PathUpstreams = "/peer/v1/upstreams"
 	PathCustomers = "/peer/v1/customers"
+	PathMetrics   = "/peer/v1/metrics"
 	PathRequests  = "/peer/v1/requests/"
 	PathHead      = "/peer/v1/configuration/head"
 	PathParts     = "/peer/v1/configuration/parts/"
--- a/internal/router/compose.go
+++ b/internal/router/compose.go
@@ -204,12 +204,23 @@
 		Policy:     r.policy,
 		MayDeliver: r.mayDeliver,
 		Journal:    r.journal,
+		Metrics:    r.metrics,
 		Clock:      s.Clock,
 		Log:        s.Log,
 	})
+	r.publish()
 	r.background()
 }
 
+// publish adds the figures that are asked for when they are read.
+func (r *Router) publish() {
+	r.metrics.Gauge("revision", func() any { return r.watcher.Revision() })
+	r.metrics.Gauge("livePeers", func() any { return r.LivePeers() })
+	r.metrics.Gauge("leaseConfirmed", func() any { return r.registration.Confirmed() })
+	r.metrics.Add("ledger", r.ledger.Counters())
+	r.metrics.Gauge("shares", func() any { return len(r.wallet.Snapshot()) })
+}
+
 // background starts the work that no request asks for.
 func (r *Router) background() {
 	s := r.settings
@@ -245,6 +256,7 @@
 		Ledger:        r.ledger,
 		Directory:     r.directory,
 		Journal:       r.journal,
+		Metrics:       r.metrics,
 		Status:        r.Status,
 		Configuration: r.watcher,
 		Clock:         s.Clock,
--- a/internal/router/queries.go
+++ b/internal/router/queries.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 
+	"example.org/lagoonfork/internal/metrics"
 	"example.org/lagoonfork/internal/peerclient"
 	"example.org/lagoonfork/pkg/configuration"
 	"example.org/lagoonfork/pkg/ident"
@@ -24,6 +25,9 @@
 // Index returns the index of the configuration in force.
 func (r *Router) Index() *configuration.Index { return r.watcher.Index() }
 
+// Metrics returns the figures of the router.
+func (r *Router) Metrics() *metrics.Metrics { return r.metrics }
+
 // LivePeers returns the number of other routers that are live.
 func (r *Router) LivePeers() int { return len(r.liveVMs()) }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -39,6 +39,7 @@
 	"example.org/lagoonfork/internal/ledger/committer"
 	"example.org/lagoonfork/internal/membership/follower"
 	"example.org/lagoonfork/internal/membership/registration"
+	"example.org/lagoonfork/internal/metrics"
 	"example.org/lagoonfork/internal/peerclient"
 	"example.org/lagoonfork/internal/plainclient"
 	"example.org/lagoonfork/internal/probe"
@@ -130,6 +131,7 @@
 	prober       *probe.Prober
 	reclaimer    *reclaim.Reclaimer
 	journal      *journal.Journal
+	metrics      *metrics.Metrics
 	notices      chan wallet.Notice
 
 	lifetime atomic.Int64 // of shares, in nanoseconds
@@ -144,6 +146,7 @@
 		settings:    s.withDefaults(),
 		incarnation: cmp.Or(s.Incarnation, newIncarnation(s.VM)),
 		journal:     journal.New(journalSize),
+		metrics:     metrics.New(),
 		notices:     make(chan wallet.Notice, maxNotices),
 	}
 	if err := r.listen(); err != nil {
--- a/pkg/answers/answers.go
+++ b/pkg/answers/answers.go
@@ -61,6 +61,24 @@
 	CrashLimit             int                      `json:"crashLimit" default:"2" min:"1" max:"100" unit:"crashes"`
 }
 
+// Lifetimes of shares that a preference stands for.
+const (
+	cautionLifetimeSeconds      = 90
+	availabilityLifetimeSeconds = 900
+)
+
+// EffectiveLifetimeSeconds returns the lifetime of shares: the one stated, or
+// the one that the preference stands for.
+func (p Policy) EffectiveLifetimeSeconds() int {
+	switch {
+	case p.ShareLifetimeSeconds > 0:
+		return p.ShareLifetimeSeconds
+	case p.Preference == configuration.PreferAvailability:
+		return availabilityLifetimeSeconds
+	}
+	return cautionLifetimeSeconds
+}
+
 // Customer is a member organisation with its budgets and applications.
 type Customer struct {
 	ID           ident.Customer `json:"id" format:"id"`
--- a/pkg/answers/answers_test.go
+++ b/pkg/answers/answers_test.go
@@ -64,8 +64,10 @@
 			[]string{"services[0].models: is missing: an engine service offers at least one model"}},
 		{"rule for nothing", `["llm", "desk"]`, `["llm", "disk"]`, []string{`rules[0].services[1]: "disk" names no service`}},
 		{"preference", `"availability"`, `"speed"`, []string{`policy.preference: "speed" is none of caution, availability`}},
-		{"horizon", `"preference": "availability"`, `"refillHorizonSeconds": 40`,
+		{"horizon", `"preference": "availability"`, `"shareLifetimeSeconds": 30, "refillHorizonSeconds": 40`,
 			[]string{"policy.refillHorizonSeconds: 40 is above shareLifetimeSeconds, 30"}},
+		{"horizon under caution", `"preference": "availability"`, `"preference": "caution", "refillHorizonSeconds": 100`,
+			[]string{"policy.refillHorizonSeconds: 100 is above shareLifetimeSeconds, 90"}},
 		{"several", `"weight": 3`, `"weight": -1, "colour": "red"`, []string{
 			"customers[0].colour: is not a known field", "customers[0].weight: -1 is below the least, 1"}},
 		{"no document", sample, `{"customers":`, []string{"is not JSON: unexpected EOF at byte 13"}},
--- a/pkg/answers/check.go
+++ b/pkg/answers/check.go
@@ -180,9 +180,9 @@
 }
 
 func (p Policy) check(problems Problems) Problems {
-	if p.RefillHorizonSeconds > p.ShareLifetimeSeconds && p.ShareLifetimeSeconds > 0 {
+	if lifetime := p.EffectiveLifetimeSeconds(); p.RefillHorizonSeconds > lifetime {
 		problems = problems.Add("policy.refillHorizonSeconds", "%d is above shareLifetimeSeconds, %d",
-			p.RefillHorizonSeconds, p.ShareLifetimeSeconds)
+			p.RefillHorizonSeconds, lifetime)
 	}
 	return problems
 }
