Move ended claims off pages that have grown

Cause: a page is written whole with each change; at 342 B a claim it has room for some 3000 requests, and its writes grow with the retention.

Change: above 64 KiB the oldest three quarters of the ended claims move to an immutable segment, written under a lease before the page lists it. Ops on a claim that the page does not hold look in the segments, the latest first. A lost segment makes late records of its age expired. The store that forgets the numbers of draws in the history check leaves segments alone.

--- a/internal/event/ledger.go
+++ b/internal/event/ledger.go
@@ -28,4 +28,8 @@
 		"A router stopped before all its records were written. Requests in them may be unbilled.")
 	LedgerForwardFailed = define(213, "ledger forward failed",
 		"The owner of a ledger page could not be reached. The ops are written directly.")
+	ClaimsSealed = define(214, "claims sealed",
+		"Ended claims of a ledger page were moved to a segment of their own.")
+	LedgerSegmentLost = define(215, "ledger segment lost",
+		"A segment that a ledger page lists is gone. Late records of requests as old as its claims are refused.")
 )
--- a/internal/ledger/check.go
+++ b/internal/ledger/check.go
@@ -34,10 +34,16 @@
 }
 
 // Prune drops the claims that ended at least retention before now. Open claims
-// stay. It returns the number of claims dropped. A late record of a request
+// stay. Segments whose claims are all that old are no longer listed. It returns
+// the number of claims dropped from the page itself. A late record of a request
 // that is old enough to have been dropped is answered with Expired.
 func (p *Page) Prune(now time.Time, retention time.Duration) (dropped int) {
 	cutoff := now.UTC().Round(0).Add(-retention)
+	for _, ref := range p.Sealed {
+		if !ref.Ended.After(cutoff) {
+			p.Unlist(ref)
+		}
+	}
 	for _, b := range p.Budgets {
 		n := b.prune(cutoff)
 		dropped += n
--- a/internal/ledger/codec.go
+++ b/internal/ledger/codec.go
@@ -44,7 +44,8 @@
 }
 
 // EncodeWrite returns p as JSON for a write that replaces revision base, and
-// the identifier of the write, which it adds to p.Writes.
+// the identifier of the write, which it adds to p.Writes in place of the one of
+// an earlier call with the same base.
 func EncodeWrite(p *Page, base int64) (data []byte, id WriteID, err error) {
 	defer func() { err = merry.Prepend(err, "encoding ledger page") }()
 	budgets, err := p.encodeBudgets()
@@ -52,6 +53,10 @@
 		return nil, "", err
 	}
 	id = writeID(base, budgets)
+	if p.marked == base+1 {
+		p.Writes = p.Writes[:len(p.Writes)-1]
+	}
+	p.marked = base + 1
 	p.Writes = append(p.Writes, id)
 	p.Writes = slices.Clone(p.Writes[max(0, len(p.Writes)-keptWrites):])
 	data, err = p.assemble(budgets)
@@ -71,14 +76,15 @@
 // again, nor copied more than once.
 func (p *Page) assemble(budgets []byte) ([]byte, error) {
 	rest, err := json.Marshal(struct {
-		Writes []WriteID `json:"writes,omitempty"`
-	}{p.Writes})
+		Writes []WriteID    `json:"writes,omitempty"`
+		Sealed []SegmentRef `json:"sealed,omitempty"`
+	}{p.Writes, p.Sealed})
 	if err != nil {
 		return nil, err
 	}
 	data := slices.Grow([]byte(`{"budgets":`), len(budgets)+len(rest)+1)
 	data = append(data, budgets...)
-	if len(p.Writes) > 0 {
+	if len(p.Writes) > 0 || len(p.Sealed) > 0 {
 		data = append(data, ',')
 	}
 	return append(data, rest[1:]...), nil
--- a/internal/ledger/committer/committer.go
+++ b/internal/ledger/committer/committer.go
@@ -16,6 +16,10 @@
 // writes the page again, even unchanged, so that the lost write can no longer
 // take effect.
 //
+// A page that has grown is relieved of its oldest ended claims, which move to
+// immutable segments under keys of their own. Ops on claims that the page does
+// not hold look in the segments.
+//
 // # Usage
 //
 //	c := committer.New(committer.Settings{Store: s, Pages: 64, Clock: time.Now})
@@ -224,6 +228,9 @@
 	// BackoffLimit and are spread by jitter.
 	Backoff      time.Duration
 	BackoffLimit time.Duration
+	// SealSize is the encoded size in bytes above which the ended claims of a
+	// page are moved to segments.
+	SealSize int
 	// Seed seeds the jitter.
 	Seed uint64
 }
@@ -234,6 +241,7 @@
 	DefaultTimeout      = 2 * time.Second
 	DefaultBackoff      = 5 * time.Millisecond
 	DefaultBackoffLimit = time.Second
+	DefaultSealSize     = 64 << 10
 )
 
 func (s Settings) withDefaults() Settings {
@@ -242,6 +250,9 @@
 	s.Timeout = orDefault(s.Timeout, DefaultTimeout)
 	s.Backoff = orDefault(s.Backoff, DefaultBackoff)
 	s.BackoffLimit = orDefault(s.BackoffLimit, DefaultBackoffLimit)
+	if s.SealSize <= 0 {
+		s.SealSize = DefaultSealSize
+	}
 	if s.Log == nil {
 		s.Log = hclog.NewNullLogger()
 	}
--- a/internal/ledger/committer/counters.go
+++ b/internal/ledger/committer/counters.go
@@ -15,6 +15,7 @@
 	Unknown      expvar.Int // writes without an answer
 	Unavailable  expvar.Int // calls that the service did not run
 	Committed    expvar.Int // ops in successful writes
+	Sealed       expvar.Int // segments written
 	LargestBatch expvar.Int // ops in the largest successful write
 }
 
@@ -31,10 +32,11 @@
 		Unknown      int64 `json:"unknown"`
 		Unavailable  int64 `json:"unavailable"`
 		Committed    int64 `json:"committed"`
+		Sealed       int64 `json:"sealed"`
 		LargestBatch int64 `json:"largestBatch"`
 	}{
 		n.Ops.Value(), n.Forwarded.Value(), n.Reads.Value(), n.Writes.Value(), n.Conflicts.Value(),
-		n.Unknown.Value(), n.Unavailable.Value(), n.Committed.Value(), n.LargestBatch.Value(),
+		n.Unknown.Value(), n.Unavailable.Value(), n.Committed.Value(), n.Sealed.Value(), n.LargestBatch.Value(),
 	})
 	if err != nil {
 		return "{}"
--- a/internal/ledger/committer/forward.go
+++ b/internal/ledger/committer/forward.go
@@ -72,7 +72,7 @@
 	for _, rq := range batch {
 		ops = append(ops, rq.op)
 	}
-	ctx, cancel := context.WithTimeout(c.tomb.Context(nil), c.settings.Timeout)
+	ctx, cancel := context.WithTimeout(c.context(), c.settings.Timeout)
 	defer cancel()
 	rs, err = c.settings.Forward.Apply(ctx, p.number, ops)
 	if err == nil && len(rs) != len(ops) {
--- a/internal/ledger/committer/history_test.go
+++ b/internal/ledger/committer/history_test.go
@@ -8,6 +8,7 @@
 	"math"
 	"math/rand/v2"
 	"runtime"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -89,6 +90,8 @@
 	wrap func(store.Store) store.Store
 	// next returns the op number n of a holder.
 	next func(s *schedule, rng *rand.Rand, holder int, sequence *uint64) ledger.Op
+	// segments is the number of segments that the page ends with.
+	segments int
 }
 
 func (s *schedule) rand(stream uint64) *rand.Rand {
@@ -107,7 +110,11 @@
 			kv = s.wrap(kv)
 		}
 		clients = append(clients, client)
-		cs = append(cs, open(kv, 1))
+		c := open(kv, 1)
+		if s.seed%2 == 1 {
+			c.settings.SealSize = 800
+		}
+		cs = append(cs, c)
 	}
 	stop := make(chan struct{})
 	var faults, workers sync.WaitGroup
@@ -124,6 +131,7 @@
 	require.NoError(t, err, "seed %d", s.seed)
 	p, err := ledger.Decode(entry.Value)
 	require.NoError(t, err, "seed %d", s.seed)
+	s.unseal(t, p)
 	for n := range requests {
 		op := releasing(requestName(n), "") // only its request matters
 		s.history.record(0, op, s.history.clock.Add(1), outcome{page: p})
@@ -131,6 +139,22 @@
 	return p
 }
 
+// unseal puts all sealed claims back on the page.
+func (s *schedule) unseal(t testing.TB, p *ledger.Page) {
+	for _, ref := range slices.Backward(p.Sealed) {
+		entry, err := s.service.Client().Get(context.Background(), ledger.SegmentKey(0, ref.ID))
+		require.NoError(t, err, "seed %d", s.seed)
+		segment, err := ledger.DecodeSegment(entry.Value)
+		require.NoError(t, err, "seed %d", s.seed)
+		for budget, claims := range segment.Claims {
+			for _, c := range claims {
+				p.Recall(budget, *c)
+			}
+		}
+	}
+	s.segments = len(p.Sealed)
+}
+
 // disturb changes the faults of the clients until stop is closed, and ends
 // with a healthy service.
 func (s *schedule) disturb(clients []*keyvalue.Client, stop <-chan struct{}) {
@@ -452,7 +476,7 @@
 			before, out := state.(register), output.(outcome)
 			op := input.(ledger.Op)
 			if out.page != nil {
-				return onlyIf(before == registerOf(out.page, requestOf(op)), before)
+				return onlyIf(before == registerOf(out.page, op.Request()), before)
 			}
 			after, want := before.step(op)
 			switch {
@@ -521,24 +545,12 @@
 		if op.Draw != nil {
 			continue
 		}
-		n := index(string(requestOf(op)))
+		n := index(string(op.Request()))
 		parts[n] = append(parts[n], o)
 	}
 	return parts
 }
 
-func requestOf(op ledger.Op) ident.Request {
-	switch {
-	case op.Open != nil:
-		return op.Open.Claim.Request
-	case op.Settle != nil:
-		return op.Settle.Claim.Request
-	case op.Release != nil:
-		return op.Release.Request
-	}
-	return op.Take.Request
-}
-
 // schedules is the number of seeded fault schedules of each history test.
 func schedules() uint64 {
 	if testing.Short() {
@@ -563,12 +575,13 @@
 				first = rand.Uint64() >> 1
 			}
 			t.Logf("seeds from %d", first)
-			overspent, unknown, refused := 0, 0, 0
+			overspent, unknown, refused, segments := 0, 0, 0, 0
 			for seed := first; seed < first+schedules(); seed++ {
 				s := &schedule{seed: seed, next: tt.next}
 				p := s.run(t)
 				require.Equal(t, porcupine.Ok, s.check(tt.model), "seed %d", seed)
 				s.audit(t, p)
+				segments += s.segments
 				if b := p.Budgets["b"]; b.Settled > b.Prepaid() {
 					overspent++
 				}
@@ -582,7 +595,7 @@
 				}
 			}
 			assert.Zero(t, overspent)
-			t.Logf("%d schedules, %d ops with an unknown outcome, %d withdrawn", schedules(), unknown, refused)
+			t.Logf("%d schedules, %d ops with an unknown outcome, %d withdrawn, %d segments", schedules(), unknown, refused, segments)
 		})
 	}
 }
@@ -620,6 +633,9 @@
 type unnumbered struct{ store.Store }
 
 func (u unnumbered) Put(ctx context.Context, key string, value []byte, cond store.Condition, l store.Lease) (store.Revision, error) {
+	if key != ledger.Key(0) {
+		return u.Store.Put(ctx, key, value, cond, l) // a segment
+	}
 	p, err := ledger.Decode(value)
 	if err != nil {
 		return 0, err
--- a/internal/ledger/committer/page.go
+++ b/internal/ledger/committer/page.go
@@ -31,6 +31,8 @@
 	lost  []lostWrite
 	fence store.Revision
 
+	segments map[ledger.SegmentID]*ledger.Segment // cached
+
 	// pausedUntil is when the forwarder is tried again. It belongs to the
 	// goroutine that takes from forward.
 	pausedUntil time.Time
@@ -98,7 +100,10 @@
 		return nil, nil
 	}
 	now := c.settings.Clock()
-	results, changed := p.apply(batch, now)
+	results, changed, err := c.apply(p, batch, now)
+	if err != nil {
+		return batch, err
+	}
 	if !changed && !fresh && !p.mustWrite() {
 		// The page was read before these ops came: it may have changed.
 		p.forget()
@@ -106,7 +111,9 @@
 			retreatAll(batch)
 			return batch, err
 		}
-		results, changed = p.apply(batch, now)
+		if results, changed, err = c.apply(p, batch, now); err != nil {
+			return batch, err
+		}
 	}
 	if changed || p.mustWrite() {
 		if err = c.put(p, batch, results, now); err != nil {
@@ -122,7 +129,7 @@
 	if p.current != nil {
 		return false, nil
 	}
-	entry, err := c.get(c.tomb.Context(nil), p.number)
+	entry, err := c.get(c.context(), ledger.Key(p.number))
 	if err != nil {
 		return false, err
 	}
@@ -155,12 +162,17 @@
 
 // apply applies the ops of batch in order, and reports whether they changed
 // the page.
-func (p *page) apply(batch []*request, now time.Time) (rs []ledger.Result, changed bool) {
+func (c *Committer) apply(p *page, batch []*request, now time.Time) (rs []ledger.Result, changed bool, err error) {
+	if err := c.recall(p, batch); err != nil {
+		p.forget()
+		retreatAll(batch)
+		return nil, false, err
+	}
 	before := p.current.Changes()
 	for _, rq := range batch {
 		rs = append(rs, p.current.Apply(rq.op, now))
 	}
-	return rs, p.current.Changes() != before
+	return rs, p.current.Changes() != before, nil
 }
 
 // mustWrite reports whether an earlier write may still take effect.
@@ -176,7 +188,7 @@
 		retreatAll(batch)
 		return err
 	}
-	ctx, cancel := context.WithTimeout(c.tomb.Context(nil), c.settings.Timeout)
+	ctx, cancel := context.WithTimeout(c.context(), c.settings.Timeout)
 	defer cancel()
 	c.counters.Writes.Add(1)
 	revision, err := c.settings.Store.Put(ctx, ledger.Key(p.number), data, store.If(p.revision), store.NoLease)
@@ -201,14 +213,17 @@
 	return err
 }
 
-// encode drops claims past their retention from time to time, and returns the
-// page's encoding. It returns ledger.ErrPageFull if that is too long to write.
+// encode drops claims past their retention from time to time, seals ended claims
+// of a page that has grown, and returns the page's encoding. It returns ledger.ErrPageFull if that is too long to write.
 func (c *Committer) encode(p *page, now time.Time) (data []byte, id ledger.WriteID, err error) {
 	if now.Sub(p.pruned) >= c.settings.Retention/pruneFraction {
 		p.current.Prune(now, c.settings.Retention)
 		p.pruned = now
 	}
 	data, id, err = ledger.EncodeWrite(p.current, int64(p.revision))
+	if err == nil && len(data) > c.settings.SealSize {
+		data, id, err = c.encodeSealed(p, data, id)
+	}
 	if err != nil || len(data) <= store.MaxValueSize {
 		return data, id, err
 	}
@@ -221,6 +236,16 @@
 	return data, id, err
 }
 
+// encodeSealed seals ended claims if that is worth a segment, and returns the
+// page's encoding then.
+func (c *Committer) encodeSealed(p *page, data []byte, id ledger.WriteID) ([]byte, ledger.WriteID, error) {
+	sealed, err := c.seal(p)
+	if err != nil || !sealed {
+		return data, id, err
+	}
+	return ledger.EncodeWrite(p.current, int64(p.revision))
+}
+
 // pruneFraction is the part of the retention after which a page is pruned.
 const pruneFraction = 32
 
--- a/internal/ledger/committer/query.go
+++ b/internal/ledger/committer/query.go
@@ -12,7 +12,7 @@
 // Page reads page n from the key-value service.
 func (c *Committer) Page(ctx context.Context, n int) (p *ledger.Page, err error) {
 	defer func() { err = merry.Prependf(err, "reading ledger page %d", n) }()
-	entry, err := c.get(ctx, n)
+	entry, err := c.get(ctx, ledger.Key(n))
 	if err != nil {
 		return nil, err
 	}
@@ -40,11 +40,16 @@
 	return &c.counters
 }
 
-func (c *Committer) get(ctx context.Context, n int) (store.Entry, error) {
+// context ends when the committer stops.
+func (c *Committer) context() context.Context {
+	return c.tomb.Context(context.Background())
+}
+
+func (c *Committer) get(ctx context.Context, key string) (store.Entry, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.settings.Timeout)
 	defer cancel()
 	c.counters.Reads.Add(1)
-	return c.settings.Store.Get(ctx, ledger.Key(n))
+	return c.settings.Store.Get(ctx, key)
 }
 
 func (p *page) last() ([]byte, store.Revision, bool) {
--- /dev/null
+++ b/internal/ledger/committer/segment_test.go
@@ -0,0 +1,111 @@
+package committer
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"example.org/lagoonfork/internal/fake/keyvalue"
+	"example.org/lagoonfork/internal/ledger"
+	"example.org/lagoonfork/pkg/ident"
+	"example.org/lagoonfork/pkg/store"
+)
+
+// settleMany bills n requests of holder a, and counts those that failed.
+func settleMany(t *testing.T, c *Committer, n int) {
+	_, err := c.Apply(context.Background(), draw("a", 1, 900))
+	require.NoError(t, err)
+	var wg sync.WaitGroup
+	for m := range n {
+		wg.Add(1)
+		c.Push(settling(claim(manyName(m), "a", 0), false), func(r ledger.Result) {
+			assert.Equal(t, ledger.Applied, r.Outcome)
+			wg.Done()
+		})
+	}
+	wg.Wait()
+}
+
+func manyName(n int) ident.Request { return ident.Request(fmt.Sprintf("request-%06d", n)) }
+
+func TestSealedClaimsAreFoundAndNotBilledAgain(t *testing.T) {
+	const n = 5000 // more than a page has room for
+	service := keyvalue.New(keyvalue.Settings{})
+	a := open(service.Client(), 1)
+	settleMany(t, a, n)
+	entry, err := service.Client().Get(context.Background(), ledger.Key(0))
+	require.NoError(t, err)
+	assert.Less(t, len(entry.Value), store.MaxValueSize/4)
+	assert.Positive(t, a.Counters().Sealed.Value())
+
+	b := open(service.Client(), 1) // has no segment cached
+	ctx := context.Background()
+	_, err = b.Apply(ctx, draw("b", 1, 50))
+	require.NoError(t, err)
+	for _, m := range []int{0, n / 2, n - 1} {
+		found, ok, err := b.Find(ctx, "b", manyName(m))
+		require.NoError(t, err)
+		require.True(t, ok)
+		assert.Equal(t, ledger.StateSettled, found.State)
+		for _, op := range []ledger.Op{opening(claim(manyName(m), "b", 0)), settling(claim(manyName(m), "b", 9), true)} {
+			r, err := b.Apply(ctx, op)
+			require.NoError(t, err)
+			assert.Equal(t, ledger.Existing, r.Outcome)
+		}
+	}
+	assert.Zero(t, budget(t, service.Client()).Settled)
+	closeAll(t, a, b)
+}
+
+func TestLostSegmentRefusesRatherThanBillsAgain(t *testing.T) {
+	service := keyvalue.New(keyvalue.Settings{})
+	a := open(service.Client(), 1)
+	settleMany(t, a, 1000)
+	p, err := a.Page(context.Background(), 0)
+	require.NoError(t, err)
+	require.NotEmpty(t, p.Sealed)
+	for _, ref := range p.Sealed {
+		require.NoError(t, service.Client().Delete(context.Background(), ledger.SegmentKey(0, ref.ID), store.Always))
+	}
+	b := open(service.Client(), 1)
+	r, err := b.Apply(context.Background(), settling(claim(manyName(0), "a", 5), true))
+	require.NoError(t, err)
+	assert.Equal(t, ledger.Expired, r.Outcome)
+	closeAll(t, a, b)
+}
+
+// A writer may die, or see no answer, at each write of a segment and of the
+// page that lists it.
+func TestSealingSurvivesLostWrites(t *testing.T) {
+	for _, faults := range []keyvalue.Faults{{LoseAnswers: 5}, {LoseWrites: 5}, {HoldWrites: 5}, {AnswerLoss: 0.3, WriteLoss: 0.3}} {
+		t.Run(fmt.Sprintf("%+v", faults), func(t *testing.T) {
+			service := keyvalue.New(keyvalue.Settings{})
+			client := service.Client()
+			a := open(client, 1)
+			a.settings.SealSize = 4 << 10
+			_, err := a.Apply(context.Background(), draw("a", 1, 900))
+			require.NoError(t, err)
+			for m := range 60 {
+				if m == 10 {
+					client.SetFaults(faults)
+				}
+				r, err := a.Apply(context.Background(), settling(claim(manyName(m), "a", 1), false))
+				require.NoError(t, err)
+				require.Equal(t, ledger.Applied, r.Outcome)
+			}
+			client.SetFaults(keyvalue.Faults{})
+			service.ReleaseHeld()
+			for m := range 60 {
+				_, ok, err := a.Find(context.Background(), "b", manyName(m))
+				require.NoError(t, err)
+				require.True(t, ok, "claim %d is lost", m)
+			}
+			assert.EqualValues(t, 60, budget(t, client).Settled)
+			closeAll(t, a)
+		})
+	}
+}
--- a/internal/ledger/model_test.go
+++ b/internal/ledger/model_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -27,6 +28,7 @@
 	opened   map[ident.Request]time.Time
 	once     map[ident.Request]bool
 	sent     []Op
+	segments map[SegmentID]*Segment
 }
 
 func newModel() *model {
@@ -38,12 +40,14 @@
 		billed:   make(map[ident.Request]tokens.Count),
 		opened:   make(map[ident.Request]time.Time),
 		once:     make(map[ident.Request]bool),
+		segments: make(map[SegmentID]*Segment),
 	}
 }
 
 // send applies op, and at random applies it again as a writer does whose answer
 // was lost. The second time must change nothing.
 func (m *model) send(t *rapid.T, op Op) Result {
+	m.recall(op)
 	r := m.page.Apply(op, m.now)
 	m.sent = append(m.sent, op)
 	changes := m.page.Changes()
@@ -112,6 +116,7 @@
 	h := m.holder(t)
 	c := m.claim(t, h)
 	delivered := c.Idempotent && rapid.Bool().Draw(t, "delivered")
+	m.recall(settle(c, delivered))
 	before, found := m.page.Find("b", c.Request)
 	free := m.free()
 	r := m.send(t, settle(c, delivered))
@@ -150,6 +155,7 @@
 func (m *model) TakeOver(t *rapid.T) {
 	from, to := m.holder(t), m.holder(t)
 	id := m.claim(t, from).Request
+	m.recall(takeOver(id, from, to))
 	before, _ := m.page.Find("b", id)
 	r := m.send(t, takeOver(id, from, to))
 	if r.Outcome == Applied && before.Holder == from {
@@ -186,6 +192,7 @@
 	}
 	_, billed := m.billed[request(op)]
 	settled := m.settled()
+	m.recall(op)
 	r := m.page.Apply(op, m.now)
 	if op.Settle == nil || billed {
 		require.Equal(t, settled, m.settled(), "billed again")
@@ -202,6 +209,29 @@
 	m.page.Prune(m.now, modelRetention)
 }
 
+// Seal moves ended claims to a segment.
+func (m *model) Seal(t *rapid.T) {
+	s, ref, ok := m.page.Seal(0)
+	if !ok {
+		return
+	}
+	data, id, err := EncodeSegment(s)
+	require.NoError(t, err)
+	m.segments[id], err = DecodeSegment(data)
+	require.NoError(t, err)
+	ref.ID = id
+	m.page.List(ref)
+}
+
+// recall puts the sealed claim that op concerns back on the page.
+func (m *model) recall(op Op) {
+	for _, ref := range slices.Backward(m.page.Sealed) {
+		if c, ok := m.segments[ref.ID].Find(op.Budget, op.Request()); ok {
+			m.page.Recall(op.Budget, c)
+		}
+	}
+}
+
 // Reload decodes the page from its encoding.
 func (m *model) Reload(t *rapid.T) {
 	data, err := Encode(&m.page)
@@ -318,6 +348,32 @@
 	})
 }
 
+func FuzzDecodeSegment(f *testing.F) {
+	var p Page
+	p.Apply(draw("a", 1, 500), start)
+	p.Apply(settle(claim("r", "a", 10, 5), false), start)
+	s, _, ok := p.Seal(0)
+	require.True(f, ok)
+	data, _, err := EncodeSegment(s)
+	require.NoError(f, err)
+	f.Add(data)
+	f.Add([]byte(`{"claims":{"b":{"r":null}}}`))
+	f.Add([]byte(`{"claims":{"b":{"r":{"request":"r","state":"open"}}}}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s, err := DecodeSegment(data)
+		if err != nil {
+			return
+		}
+		once, id, err := EncodeSegment(s)
+		require.NoError(t, err)
+		s, err = DecodeSegment(once)
+		require.NoError(t, err)
+		_, again, err := EncodeSegment(s)
+		require.NoError(t, err)
+		require.Equal(t, id, again)
+	})
+}
+
 func TestDecodeRefuses(t *testing.T) {
 	tests := []struct{ name, data string }{
 		{"unknown field", `{"budgets":{},"other":1}`},
--- a/internal/ledger/op.go
+++ b/internal/ledger/op.go
@@ -22,6 +22,21 @@
 	Reclaim *Reclaim     `json:"reclaim,omitempty"`
 }
 
+// Request returns the request whose claim op concerns, or an empty identifier.
+func (o Op) Request() ident.Request {
+	switch {
+	case o.Open != nil:
+		return o.Open.Claim.Request
+	case o.Settle != nil:
+		return o.Settle.Claim.Request
+	case o.Release != nil:
+		return o.Release.Request
+	case o.Take != nil:
+		return o.Take.Request
+	}
+	return ""
+}
+
 // Draw asks for tokens for the holder's share of a budget. It grants Want, or
 // what is free if that is at least Least, or nothing.
 //
--- a/internal/ledger/page.go
+++ b/internal/ledger/page.go
@@ -35,8 +35,11 @@
 	// Writes identifies the last writes of the page, the latest last, so that
 	// a writer whose answer was lost finds out whether its write took effect.
 	Writes []WriteID `json:"writes,omitempty"`
+	// Sealed lists the segments with ended claims of the page, the latest last.
+	Sealed []SegmentRef `json:"sealed,omitempty"`
 
 	changes uint64
+	marked  int64 // the base of the last of Writes, plus one, if not yet written
 }
 
 // WriteID identifies one write of a page: its content and the revision that it
