--- a/internal/ledger/codec.go
+++ b/internal/ledger/codec.go
@@ -138,16 +138,25 @@
 	if len(data) == 0 {
 		return p, nil
 	}
-	d := json.NewDecoder(bytes.NewReader(data))
-	d.DisallowUnknownFields()
-	if err := d.Decode(p); err != nil {
+	if err := decodeStrictly(data, p); err != nil {
 		return nil, err
 	}
-	if _, err := d.Token(); !errors.Is(err, io.EOF) {
-		return nil, errTrailing
-	}
 	if err := p.Check(); err != nil {
 		return nil, err
 	}
 	return p, nil
 }
+
+// decodeStrictly decodes data, which holds one JSON value without fields that v
+// does not have.
+func decodeStrictly(data []byte, v any) error {
+	d := json.NewDecoder(bytes.NewReader(data))
+	d.DisallowUnknownFields()
+	if err := d.Decode(v); err != nil {
+		return err
+	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return errTrailing
+	}
+	return nil
+}
--- a/internal/ledger/committer/committer_test.go
+++ b/internal/ledger/committer/committer_test.go
@@ -248,3 +248,47 @@
 	assert.Equal(t, ledger.Applied, r.Outcome)
 	closeAll(t, c)
 }
+
+// forwardFunc is a Forward that is a function.
+type forwardFunc func([]ledger.Op) ([]ledger.Result, error)
+
+func (f forwardFunc) Apply(_ context.Context, _ int, ops []ledger.Op) ([]ledger.Result, error) {
+	return f(ops)
+}
+
+func TestForwardFallsBackToDirectWrites(t *testing.T) {
+	granted := []ledger.Result{{Outcome: ledger.Applied, Granted: 300}}
+	tests := []struct {
+		name    string
+		results []ledger.Result
+		err     error
+		writes  int
+	}{
+		{"owner answers", granted, nil, 0},
+		{"this router is the owner", nil, ErrOwner, 1},
+		{"owner not reached", nil, store.ErrUnavailable, 1},
+		{"no answer", nil, store.ErrUnknown, 1},
+		{"too few results", nil, nil, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			service := keyvalue.New(keyvalue.Settings{})
+			c := open(service.Client(), 1)
+			c.settings.Forward = forwardFunc(func([]ledger.Op) ([]ledger.Result, error) { return tt.results, tt.err })
+			r, err := c.Apply(context.Background(), draw("a", 1, 300))
+			require.NoError(t, err)
+			assert.Equal(t, ledger.Applied, r.Outcome)
+			assert.EqualValues(t, 300, r.Granted)
+			assert.Equal(t, tt.writes, service.Counts().Writes)
+			closeAll(t, c)
+		})
+	}
+}
+
+func TestApplyLocalRefusesBudgetsOfOtherPages(t *testing.T) {
+	c := open(keyvalue.New(keyvalue.Settings{}).Client(), 8)
+	other := (ledger.Index("b", 8) + 1) % 8
+	_, err := c.ApplyLocal(context.Background(), other, []ledger.Op{draw("a", 1, 300)})
+	assert.ErrorIs(t, err, store.ErrUnavailable)
+	closeAll(t, c)
+}
--- a/internal/ledger/committer/history_test.go
+++ b/internal/ledger/committer/history_test.go
@@ -90,6 +90,9 @@
 	wrap func(store.Store) store.Store
 	// next returns the op number n of a holder.
 	next func(s *schedule, rng *rand.Rand, holder int, sequence *uint64) ledger.Op
+	// forward makes all committers but the first pass their ops to it.
+	forward bool
+	ticks   atomic.Int64
 	// segments is the number of segments that the page ends with.
 	segments int
 }
@@ -114,6 +117,10 @@
 		if s.seed%2 == 1 {
 			c.settings.SealSize = 800
 		}
+		if s.forward && len(cs) > 0 {
+			c.settings.Forward = &flakyOwner{owner: cs[0], rng: s.rand(uint64(10 + len(cs)))}
+			c.settings.Clock = s.hurry
+		}
 		cs = append(cs, c)
 	}
 	stop := make(chan struct{})
@@ -139,6 +146,30 @@
 	return p
 }
 
+// hurry is a clock on which the pause after a failed forward is over at once.
+func (s *schedule) hurry() time.Time {
+	return start.Add(time.Duration(s.ticks.Add(1)) * forwardPause)
+}
+
+// flakyOwner passes ops to the owner of a page and at random loses the ops or
+// the results.
+type flakyOwner struct {
+	owner *Committer
+	rng   *rand.Rand // used by one forwarding goroutine at a time
+}
+
+func (f *flakyOwner) Apply(ctx context.Context, page int, ops []ledger.Op) ([]ledger.Result, error) {
+	fate := f.rng.IntN(4)
+	if fate == 0 {
+		return nil, store.ErrUnavailable
+	}
+	rs, err := f.owner.ApplyLocal(ctx, page, ops)
+	if fate == 1 {
+		return nil, store.ErrUnknown
+	}
+	return rs, err
+}
+
 // unseal puts all sealed claims back on the page.
 func (s *schedule) unseal(t testing.TB, p *ledger.Page) {
 	for _, ref := range slices.Backward(p.Sealed) {
@@ -561,12 +592,14 @@
 
 func TestHistories(t *testing.T) {
 	tests := []struct {
-		name  string
-		next  func(*schedule, *rand.Rand, int, *uint64) ledger.Op
-		model porcupine.Model
+		name    string
+		next    func(*schedule, *rand.Rand, int, *uint64) ledger.Op
+		model   porcupine.Model
+		forward bool
 	}{
-		{"budgets", budgetOp, budgetModel()},
-		{"claims", claimOp, claimModel()},
+		{"budgets", budgetOp, budgetModel(), false},
+		{"budgets through an owner", budgetOp, budgetModel(), true},
+		{"claims", claimOp, claimModel(), false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -577,7 +610,7 @@
 			t.Logf("seeds from %d", first)
 			overspent, unknown, refused, segments := 0, 0, 0, 0
 			for seed := first; seed < first+schedules(); seed++ {
-				s := &schedule{seed: seed, next: tt.next}
+				s := &schedule{seed: seed, next: tt.next, forward: tt.forward}
 				p := s.run(t)
 				require.Equal(t, porcupine.Ok, s.check(tt.model), "seed %d", seed)
 				s.audit(t, p)
--- a/internal/ledger/segment.go
+++ b/internal/ledger/segment.go
@@ -1,10 +1,7 @@
 package ledger
 
 import (
-	"bytes"
 	"encoding/json"
-	"errors"
-	"io"
 	"slices"
 	"strconv"
 	"time"
@@ -114,14 +111,9 @@
 func DecodeSegment(data []byte) (s *Segment, err error) {
 	defer func() { err = merry.Prepend(err, "decoding ledger segment") }()
 	s = new(Segment)
-	d := json.NewDecoder(bytes.NewReader(data))
-	d.DisallowUnknownFields()
-	if err := d.Decode(s); err != nil {
+	if err := decodeStrictly(data, s); err != nil {
 		return nil, err
 	}
-	if _, err := d.Token(); !errors.Is(err, io.EOF) {
-		return nil, errTrailing
-	}
 	for _, claims := range s.Claims {
 		for id, c := range claims {
 			if c == nil || c.Request != id || c.State == StateOpen {
