--- a/internal/ledger/codec.go
+++ b/internal/ledger/codec.go
@@ -45,7 +45,8 @@
 }
 
 // EncodeWrite returns p as JSON for a write that replaces revision base, and
-// the identifier of the write, which it adds to p.Writes.
+// the identifier of the write, which it adds to p.Writes in place of the one of
+// an earlier call with the same base.
 func EncodeWrite(p *Page, base int64) (data []byte, id WriteID, err error) {
 	defer func() { err = merry.Prepend(err, "encoding ledger page") }()
 	budgets, err := p.encodeBudgets()
@@ -53,6 +54,10 @@
 		return nil, "", err
 	}
 	id = writeID(base, budgets)
+	if p.marked == base+1 {
+		p.Writes = p.Writes[:len(p.Writes)-1]
+	}
+	p.marked = base + 1
 	p.Writes = append(p.Writes, id)
 	p.Writes = slices.Clone(p.Writes[max(0, len(p.Writes)-keptWrites):])
 	data, err = p.assemble(budgets)
@@ -72,10 +77,11 @@
 // again, nor copied more than once.
 func (p *Page) assemble(budgets []byte) ([]byte, error) {
 	rest, err := json.Marshal(struct {
-		Writes  []WriteID `json:"writes,omitempty"`
-		Written time.Time `json:"written,omitzero"`
-		Hold    time.Time `json:"hold,omitzero"`
-	}{p.Writes, p.Written, p.Hold})
+		Writes  []WriteID    `json:"writes,omitempty"`
+		Sealed  []SegmentRef `json:"sealed,omitempty"`
+		Written time.Time    `json:"written,omitzero"`
+		Hold    time.Time    `json:"hold,omitzero"`
+	}{p.Writes, p.Sealed, p.Written, p.Hold})
 	if err != nil {
 		return nil, err
 	}
@@ -135,16 +141,25 @@
 	if len(data) == 0 {
 		return p, nil
 	}
-	d := json.NewDecoder(bytes.NewReader(data))
-	d.DisallowUnknownFields()
-	if err := d.Decode(p); err != nil {
+	if err := decodeStrictly(data, p); err != nil {
 		return nil, err
 	}
-	if _, err := d.Token(); !errors.Is(err, io.EOF) {
-		return nil, errTrailing
-	}
 	if err := p.Check(); err != nil {
 		return nil, err
 	}
 	return p, nil
 }
+
+// decodeStrictly decodes data, which holds one JSON value without fields that v
+// does not have.
+func decodeStrictly(data []byte, v any) error {
+	d := json.NewDecoder(bytes.NewReader(data))
+	d.DisallowUnknownFields()
+	if err := d.Decode(v); err != nil {
+		return err
+	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return errTrailing
+	}
+	return nil
+}
