Take the locks of the engine client in one order

Cause: recording a crash took the client's lock under a peer's, and ending a whole answer took it under a stream's, against the order of all other paths; a crash under load could stop the client for good. Change: crashes are counted without a lock, the connection of a whole answer is detached first, and the order is written down. The test with random faults now crashes the engine too and checks that what is called unrun did not run.

--- a/internal/engineclient/client.go
+++ b/internal/engineclient/client.go
@@ -37,6 +37,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -107,16 +108,19 @@
 type address string
 
 // Client talks to engines. Its methods are safe for concurrent use.
+//
+// Its locks are taken in this order: Client.mu, a shard of peers, peer.mu,
+// Stream.mu.
 type Client struct {
 	settings Settings
 	peers    *shard.Map[address, *peer]
 	ctx      context.Context // ends with the client
 	t        tomb.Tomb
+	crashes  atomic.Uint64 // that the client has seen
 
-	mu      sync.Mutex // guards what follows
-	closed  bool
-	crashes uint64
-	random  *rand.Rand
+	mu     sync.Mutex // guards what follows
+	closed bool
+	random *rand.Rand
 }
 
 // New returns a client. Close releases it.
@@ -220,11 +224,3 @@
 		p.transport.Close()
 	})
 }
-
-// nextCrash returns the number of a new crash.
-func (c *Client) nextCrash() uint64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.crashes++
-	return c.crashes
-}
--- a/internal/engineclient/peer.go
+++ b/internal/engineclient/peer.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"example.org/lagoonfork/internal/silence"
@@ -71,13 +72,13 @@
 
 // crashed records that the engine refuses connections. All streams that one
 // crash ends get the same error. It reports whether the crash is a new one.
-func (p *peer) crashed(number func() uint64) (crash *CrashError, isNew bool) {
+func (p *peer) crashed(crashes *atomic.Uint64) (crash *CrashError, isNew bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.crash != nil {
 		return p.crash, false
 	}
-	p.crash = &CrashError{Upstream: p.upstream, Crash: number(), InFlight: p.flights()}
+	p.crash = &CrashError{Upstream: p.upstream, Crash: crashes.Add(1), InFlight: p.flights()}
 	return p.crash, true
 }
 
--- a/internal/engineclient/race_test.go
+++ b/internal/engineclient/race_test.go
@@ -16,12 +16,13 @@
 	"example.org/lagoonfork/internal/engineclient"
 	fake "example.org/lagoonfork/internal/fake/engine"
 	"example.org/lagoonfork/pkg/configuration"
+	"example.org/lagoonfork/pkg/ident"
 )
 
 // TestEachCallerGetsItsOwnAnswer runs many callers while faults come and go,
-// and connections are muted, at random. Every answer is whole and the caller's
-// own, or ends with an error; what was delivered before is the beginning of
-// the caller's own answer.
+// connections are muted and the engine crashes, at random. Every answer is
+// whole and the caller's own, or ends with an error; what was delivered before
+// is the beginning of the caller's own answer. What is called unrun did not run.
 func TestEachCallerGetsItsOwnAnswer(t *testing.T) {
 	const callers, runsEach = 16, 8
 	seed := rand.Uint64()
@@ -29,7 +30,7 @@
 	b := newBench(t, fake.Settings{Slots: callers, TokenPace: 500 * time.Microsecond})
 	stop := make(chan struct{})
 	var faults, work sync.WaitGroup
-	faults.Go(func() { injectFaults(b.engine, rand.New(rand.NewPCG(seed, 1)), stop) })
+	faults.Go(func() { assert.NoError(t, injectFaults(b.engine, rand.New(rand.NewPCG(seed, 1)), stop)) })
 	var mu sync.Mutex
 	whole := 0
 	for caller := range callers {
@@ -47,6 +48,9 @@
 				}
 				expected := fake.ExpectedAnswer(prompt, 64)
 				assert.Equal(t, expected[:len(a.text)], a.text)
+				if !engineclient.MayHaveRun(a.err) {
+					assert.Zero(t, b.engine.Runs(ident.Request("r-"+name)), "%v", a.err)
+				}
 			}
 		})
 	}
@@ -57,7 +61,7 @@
 	assert.Positive(t, whole)
 }
 
-func injectFaults(e *fake.Engine, random *rand.Rand, stop <-chan struct{}) {
+func injectFaults(e *fake.Engine, random *rand.Rand, stop <-chan struct{}) error {
 	all := []fake.Faults{
 		{}, {SilentAfter: 5}, {ResetAt: 9}, {CutAt: 3}, {RepeatAt: 12}, {SkipAt: 2}, {LateAt: 20},
 		{WithoutDone: true}, {CrossedAt: 15}, {CrossedHeader: true}, {NotRun: true}, {SilentAtStart: true},
@@ -65,12 +69,18 @@
 	for {
 		select {
 		case <-stop:
-			return
+			return nil
 		case <-time.After(10 * time.Millisecond):
 		}
 		e.SetFaults(all[random.IntN(len(all))])
-		if random.IntN(20) == 0 {
+		switch random.IntN(40) {
+		case 0, 1:
 			e.Mute()
+		case 2:
+			e.Crash()
+			if err := e.Restart(); err != nil {
+				return err
+			}
 		}
 	}
 }
--- a/internal/engineclient/recovery.go
+++ b/internal/engineclient/recovery.go
@@ -151,7 +151,7 @@
 }
 
 func (s *Stream) crash() error {
-	crash, isNew := s.peer.crashed(s.client.nextCrash)
+	crash, isNew := s.peer.crashed(&s.client.crashes)
 	if isNew {
 		event.UpstreamCrashed.Error(s.client.settings.Log, "upstream", s.upstream.ID,
 			"crash", crash.Crash, "inFlight", len(crash.InFlight))
--- a/internal/engineclient/stream.go
+++ b/internal/engineclient/stream.go
@@ -316,14 +316,19 @@
 
 // release lets the connection of a whole answer go back to the pool.
 func (s *Stream) release() {
+	c := s.detach()
+	if c != nil && c.body != nil {
+		s.client.background(func() { c.drain(s.client.settings.CallTimeout) })
+	}
+}
+
+// detach takes the current connection away from the stream.
+func (s *Stream) detach() *connection {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c := s.connection
 	s.connection = nil
-	if c == nil || c.body == nil {
-		return
-	}
-	s.client.background(func() { c.drain(s.client.settings.CallTimeout) })
+	return c
 }
 
 // drain reads the end of a whole answer, so that the connection can be pooled.
