Send ledger ops through the owner of their page

Change: the ledger writer tries the router that owns the page (rendezvous hash over live routers) and writes directly when that fails; the compare-and-swap guards both.

--- a/internal/embedded/bench_test.go
+++ b/internal/embedded/bench_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"runtime"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -159,3 +160,39 @@
 	runtime.ReadMemStats(&m)
 	return int64(m.HeapAlloc + m.StackInuse)
 }
+
+// BenchmarkStoreCalls counts the calls of the key-value service for each
+// request, when all routers serve one budget.
+func BenchmarkStoreCalls(b *testing.B) {
+	for _, routers := range []int{1, 3, 9} {
+		b.Run(fmt.Sprintf("routers=%d", routers), func(b *testing.B) {
+			s := Settings{
+				Answers: testAnswers(b),
+				Routers: routers,
+				Direct:  true,
+				Timing:  testTiming(),
+				Clock:   time.Now,
+				Log:     testLog(),
+			}
+			d, err := Start(context.Background(), s)
+			require.NoError(b, err)
+			defer func() { _ = d.Close(context.Background()) }()
+			before := d.KeyValue.Counts()
+			var next atomic.Int64
+			b.SetParallelism(4)
+			b.RunParallel(func(pb *testing.PB) {
+				for pb.Next() {
+					a := ask{prompt: "short [answer of 8 tokens]", tokens: 8}
+					r, err := send(context.Background(), d.URL(int(next.Add(1))%routers), a)
+					if err != nil || !r.whole {
+						b.Errorf("%v %+v", err, r)
+					}
+				}
+			})
+			after := d.KeyValue.Counts()
+			b.ReportMetric(float64(after.Writes-before.Writes)/float64(b.N), "writes/request")
+			b.ReportMetric(float64(after.Reads-before.Reads)/float64(b.N), "reads/request")
+			b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "requests/s")
+		})
+	}
+}
--- a/internal/router/compose.go
+++ b/internal/router/compose.go
@@ -175,6 +175,7 @@
 		Clock:     s.Clock,
 		Log:       s.Log,
 		Timeout:   s.Limits.StoreTimeout,
+		Forward:   r.client,
 	})
 	r.wallet = wallet.New(wallet.Settings{
 		Holder:   r.incarnation,
