Cancel runs whose start was lost, and count received tokens

Cause: a run whose start was lost or crossed went on at its engine; the cost of a cut answer left out tokens without text. Change: cancel whatever may run; take the stream's own count. Conclusion: found by reading the client's contract, not by a failing run.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -197,6 +197,7 @@
 		CacheKey:  string(routing.PrefixOf(x.r.Chat.Text)),
 	})
 	if err != nil {
+		x.cancel(up, request, err)
 		return outcome{}, routing.Observation{Failed: upstreamFault(ctx, err)}, err
 	}
 	defer func() { _ = stream.Close() }() // it only releases the connection
@@ -209,7 +210,7 @@
 	end.Attempt, end.Upstream = a, up.ID
 	seen = x.observe(began, first, end.Usage)
 	seen.Expected = expected
-	return outcome{end: end, cost: x.cost(end.Usage)}, seen, nil
+	return outcome{end: end, cost: x.cost(end.Usage, stream.Received())}, seen, nil
 }
 
 // upstreamFault reports whether an error speaks against the upstream.
@@ -282,7 +283,7 @@
 
 // cancel stops a run at its engine unless it has ended by itself.
 func (x *run) cancel(up configuration.Upstream, request ident.Request, err error) {
-	if errors.Is(err, engineclient.ErrRefused) || errors.Is(err, engineclient.ErrCrashed) {
+	if !engineclient.MayHaveRun(err) || errors.Is(err, engineclient.ErrCrashed) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
@@ -309,10 +310,11 @@
 	return o
 }
 
-// cost returns what the request costs: the engine's count, at most the bound.
-func (x *run) cost(u *engine.Usage) tokens.Count {
+// cost returns what the request costs: the engine's count or, for an answer that
+// was cut, the tokens received; at most the bound.
+func (x *run) cost(u *engine.Usage, received int) tokens.Count {
 	if u == nil {
-		return min(x.r.Chat.Prompt+tokens.Count(x.position), x.r.Bound)
+		return min(x.r.Chat.Prompt+tokens.Count(received), x.r.Bound)
 	}
 	return min(u.PromptTokens+u.CompletionTokens, x.r.Bound)
 }
