--- a/internal/embedded/embedded.go
+++ b/internal/embedded/embedded.go
@@ -42,8 +42,8 @@
 	"example.org/lagoonfork/pkg/store"
 )
 
-// secret is the secret of an embedded fleet, which only this process reaches.
-const secret = "embedded-fleet-secret"
+// Secret is the secret of an embedded fleet, which only this process reaches.
+const Secret = "embedded-fleet-secret"
 
 // Settings of a Deployment. Answers, Clock and Log are required.
 type Settings struct {
@@ -174,7 +174,7 @@
 		Region:        "embedded",
 		CallerAddress: listen,
 		PeerAddress:   loopback,
-		Secret:        secret,
+		Secret:        Secret,
 		Store:         client,
 		Timing:        d.settings.Timing,
 		Clock:         d.settings.Clock,
@@ -222,6 +222,9 @@
 	return domains[i%len(domains)]
 }
 
+// StoreAddress returns where the gateway of the key-value stand-in listens.
+func (d *Deployment) StoreAddress() netip.AddrPort { return d.address }
+
 // URL returns the base of the URLs of router i for callers.
 func (d *Deployment) URL(i int) string {
 	return "http://" + d.Routers[i].CallerAddress().String()
--- a/internal/embedded/sample.go
+++ b/internal/embedded/sample.go
@@ -342,3 +342,11 @@
 	}
 	return calls
 }
+
+// LastRequest returns the identifier of the last request that was answered.
+func (s *Sample) LastRequest() string {
+	if len(s.answered) == 0 {
+		return ""
+	}
+	return string(s.answered[len(s.answered)-1].Request)
+}
