--- /dev/null
+++ b/internal/embedded/input_test.go
@@ -0,0 +1,170 @@
+package embedded
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"example.org/lagoonfork/internal/audit"
+)
+
+func TestBadInput(t *testing.T) {
+	const chat = "/v1/chat/completions"
+	valid := func(extra string) string {
+		return `{"model":"test-model","messages":[{"role":"user","content":"a"}]` + extra + `}`
+	}
+	tests := []struct {
+		name, path, body string
+		header           map[string]string
+		status           int
+		code, message    string
+	}{
+		{"malformed", chat, `{"model":`, nil, 400, "badRequest", "body"},
+		{"not an object", chat, `[1]`, nil, 400, "badRequest", "body"},
+		{"no model", chat, `{"messages":[{"role":"user","content":"a"}]}`, nil, 400, "badRequest", "model"},
+		{"no messages", chat, `{"model":"test-model"}`, nil, 400, "badRequest", "messages"},
+		{"no role", chat, `{"model":"test-model","messages":[{"content":"a"}]}`, nil, 400, "badRequest", "messages[0].role"},
+		{"image", chat, `{"model":"test-model","messages":[{"role":"user","content":[{"type":"image_url"}]}]}`, nil, 400, "badRequest", "messages[0].content"},
+		{"negative limit", chat, valid(`,"max_tokens":-1`), nil, 400, "badRequest", "max_tokens"},
+		{"absurd limit", chat, valid(`,"max_tokens":1e15`), nil, 400, "badRequest", "max_tokens"},
+		{"limit over the application's", chat, valid(`,"max_tokens":5000`), nil, 400, "badRequest", "max_tokens"},
+		{"several choices", chat, valid(`,"n":2`), nil, 400, "badRequest", "n:"},
+		{"unknown model", chat, strings.Replace(valid(""), "test-model", "other", 1), nil, 404, "unknownModel", "model"},
+		{"huge", chat, valid(`,"x":"` + strings.Repeat("a", 5<<20) + `"`), nil, 413, "bodyTooLarge", "4194304"},
+		{"wrong key", chat, valid(""), map[string]string{"Authorization": "Bearer wrong"}, 401, "unauthorized", "Authorization"},
+		{"no key", chat, valid(""), map[string]string{"Authorization": ""}, 401, "unauthorized", "Authorization"},
+		{"idempotency key", chat, valid(""), map[string]string{"Idempotency-Key": "a b"}, 400, "badRequest", "Idempotency-Key"},
+		{"deadline", chat, valid(""), map[string]string{"X-Deadline-Millis": "-5"}, 400, "badRequest", "X-Deadline-Millis"},
+		{"unknown service", "/services/none/x", "{}", nil, 404, "notFound", "none"},
+		{"engine as a plain service", "/services/llm/x", "{}", nil, 404, "notFound", "llm"},
+		{"unknown path", "/v2/x", "{}", nil, 404, "notFound", "/v2/x"},
+	}
+	d := start(t, 1, nil)
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			status, body := post(t, d.URL(0)+tt.path, tt.body, tt.header)
+			assert.Equal(t, tt.status, status, body)
+			var out struct {
+				Error struct {
+					Code    string `json:"code"`
+					Message string `json:"message"`
+					NotRun  bool   `json:"notRun"`
+				} `json:"error"`
+			}
+			require.NoError(t, json.Unmarshal([]byte(body), &out), body)
+			assert.Equal(t, tt.code, out.Error.Code)
+			assert.Contains(t, out.Error.Message, tt.message)
+			assert.True(t, out.Error.NotRun)
+		})
+	}
+	assertNothingReserved(t, d)
+}
+
+func post(t *testing.T, url, body string, header map[string]string) (int, string) {
+	request, err := http.NewRequest(http.MethodPost, url, strings.NewReader(body))
+	require.NoError(t, err)
+	request.Header.Set("Authorization", "Bearer "+testKey)
+	for name, value := range header {
+		request.Header.Set(name, value)
+	}
+	response, err := http.DefaultClient.Do(request)
+	require.NoError(t, err)
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	return response.StatusCode, string(data)
+}
+
+// assertNothingReserved checks that no claim is open and no token reserved.
+func assertNothingReserved(t *testing.T, d *Deployment) {
+	assert.Eventually(t, func() bool {
+		pages, err := audit.Read(context.Background(), d.KeyValue.Client(), d.Answers.Policy.LedgerPages)
+		require.NoError(t, err)
+		for _, p := range pages {
+			for _, b := range p.Budgets {
+				for _, s := range b.Shares {
+					if s.Reserved != 0 {
+						return false
+					}
+				}
+			}
+		}
+		return true
+	}, waitFor, tick)
+}
+
+func TestKeyReusedWithAnotherBody(t *testing.T) {
+	d := start(t, 2, nil)
+	warm(t, d)
+	first, err := send(context.Background(), d.URL(0), ask{prompt: "one", tokens: 5, key: "reused"})
+	require.NoError(t, err)
+	require.True(t, first.whole)
+	for i := range 2 {
+		r, err := send(context.Background(), d.URL(i), ask{prompt: "another", tokens: 5, key: "reused"})
+		require.NoError(t, err)
+		assert.Equal(t, "idempotencyKeyReused", r.refusal.Code, "router %d", i)
+		assert.True(t, r.refusal.NotRun)
+	}
+	assertNothingReserved(t, d)
+}
+
+// TestCallersThatLeave opens streams and half requests and breaks them off. No
+// goroutine, claim or reservation may be left.
+func TestCallersThatLeave(t *testing.T) {
+	d := start(t, 1, func(s *Settings) { s.Engine.TokenPace = 5 * time.Millisecond })
+	load(t, d, 4)
+	http.DefaultClient.CloseIdleConnections()
+	settle(t)
+	before := runtime.NumGoroutine()
+	for i := range 20 {
+		ctx, cancel := context.WithCancel(context.Background())
+		a := ask{prompt: fmt.Sprintf("left %d [answer of 400 tokens]", i), tokens: 400, stream: true}
+		a.piece = func(n int) {
+			if n == 3 {
+				cancel()
+			}
+		}
+		_, err := send(ctx, d.URL(0), a)
+		assert.Error(t, err)
+		cancel()
+		half(t, d)
+	}
+	http.DefaultClient.CloseIdleConnections()
+	assertNothingReserved(t, d)
+	assert.Eventually(t, func() bool { return runtime.NumGoroutine() <= before+5 }, waitFor, 10*tick,
+		"%d goroutines before", before)
+	for _, e := range d.Engines {
+		assert.Less(t, int(e.TokensGenerated()), 20*400, "abandoned runs are cancelled")
+	}
+}
+
+// half sends the beginning of a request and closes its side.
+func half(t *testing.T, d *Deployment) {
+	c, err := net.Dial("tcp", d.Routers[0].CallerAddress().String())
+	require.NoError(t, err)
+	_, err = io.WriteString(c, "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nContent-Length: 100\r\n\r\n{")
+	require.NoError(t, err)
+	require.NoError(t, c.(*net.TCPConn).CloseWrite())
+	require.NoError(t, c.Close())
+}
+
+// settle waits until the number of goroutines no longer falls.
+func settle(t *testing.T) {
+	last := 0
+	require.Eventually(t, func() bool {
+		n := runtime.NumGoroutine()
+		steady := n == last
+		last = n
+		return steady
+	}, waitFor, 10*tick)
+}
