--- a/internal/callerapi/callerapi.go
+++ b/internal/callerapi/callerapi.go
@@ -12,6 +12,7 @@
 package callerapi
 
 import (
+	"context"
 	"crypto/rand"
 	"crypto/sha256"
 	"encoding/hex"
@@ -241,6 +242,27 @@
 	return data, nil
 }
 
+// serve submits an accepted request and delivers its answer before the
+// deadline, or sends the refusal.
+func (h *Handler) serve(w http.ResponseWriter, r *http.Request, request *dispatch.Request, refused *refusal.Refusal,
+	deliver func(ctx context.Context, s *dispatch.Submission),
+) {
+	if refused != nil {
+		refused.Write(w, "")
+		return
+	}
+	w.Header().Set(HeaderRequest, string(request.ID))
+	s, refused := h.submit(request)
+	if refused != nil {
+		refused.Write(w, request.ID)
+		return
+	}
+	defer s.Leave()
+	ctx, cancel := context.WithDeadline(r.Context(), request.Deadline)
+	defer cancel()
+	deliver(ctx, s)
+}
+
 // submit starts the request or joins the one with its key.
 func (h *Handler) submit(request *dispatch.Request) (*dispatch.Submission, *refusal.Refusal) {
 	s, err := h.Dispatcher.Submit(h.Clock(), request)
--- a/internal/callerapi/chat.go
+++ b/internal/callerapi/chat.go
@@ -18,25 +18,14 @@
 // chat answers a chat completion.
 func (h *Handler) chat(w http.ResponseWriter, r *http.Request) {
 	request, p, refused := h.acceptChat(w, r)
-	if refused != nil {
-		refused.Write(w, "")
-		return
-	}
-	w.Header().Set(HeaderRequest, string(request.ID))
-	s, refused := h.submit(request)
-	if refused != nil {
-		refused.Write(w, request.ID)
-		return
-	}
-	defer s.Leave()
-	ctx, cancel := context.WithDeadline(r.Context(), request.Deadline)
-	defer cancel()
-	d := delivery{request: request, model: p.model, created: h.Clock().Unix(), usage: p.usage, handler: h}
-	if p.stream {
-		d.stream(ctx, w, s)
-		return
-	}
-	d.whole(ctx, w, s)
+	h.serve(w, r, request, refused, func(ctx context.Context, s *dispatch.Submission) {
+		d := delivery{handler: h, request: request, model: p.model, created: h.Clock().Unix(), usage: p.usage}
+		if p.stream {
+			d.stream(ctx, w, s)
+			return
+		}
+		d.whole(ctx, w, s)
+	})
 }
 
 // acceptChat checks a chat request.
--- a/internal/callerapi/plain.go
+++ b/internal/callerapi/plain.go
@@ -20,29 +20,18 @@
 // plain forwards a call to a plain service.
 func (h *Handler) plain(w http.ResponseWriter, r *http.Request) {
 	request, refused := h.acceptCall(w, r)
-	if refused != nil {
-		refused.Write(w, "")
-		return
-	}
-	w.Header().Set(HeaderRequest, string(request.ID))
-	s, refused := h.submit(request)
-	if refused != nil {
-		refused.Write(w, request.ID)
-		return
-	}
-	defer s.Leave()
-	ctx, cancel := context.WithDeadline(r.Context(), request.Deadline)
-	defer cancel()
-	_, end, err := s.Answer.Read(ctx, 0)
-	switch {
-	case err != nil:
-		late(request).Write(w, request.ID)
-	case end.Refusal != nil:
-		end.Refusal.Write(w, request.ID)
-	default:
-		h.limitWrite(w)
-		deliver(w, end)
-	}
+	h.serve(w, r, request, refused, func(ctx context.Context, s *dispatch.Submission) {
+		_, end, err := s.Answer.Read(ctx, 0)
+		switch {
+		case err != nil:
+			late(request).Write(w, request.ID)
+		case end.Refusal != nil:
+			end.Refusal.Write(w, request.ID)
+		default:
+			h.limitWrite(w)
+			deliver(w, end)
+		}
+	})
 }
 
 // deliver sends the response of a plain service.
--- a/internal/router/compose.go
+++ b/internal/router/compose.go
@@ -23,74 +23,9 @@
 	"example.org/lagoonfork/internal/routing"
 	"example.org/lagoonfork/internal/survey"
 	"example.org/lagoonfork/internal/wallet"
-	"example.org/lagoonfork/pkg/configuration"
 	"example.org/lagoonfork/pkg/ident"
 )
 
-const (
-	// journalSize is the number of requests whose decisions are kept.
-	journalSize = 10_000
-	// maxNotices bounds the notices that wait to be sent to keepers.
-	maxNotices = 256
-	// incarnationBytes is the number of random bytes of an incarnation.
-	incarnationBytes = 8
-
-	defaultLeaseTTL   = 10 * time.Second
-	defaultSurvey     = time.Second
-	defaultProbe      = 2 * time.Second
-	defaultReclaim    = 30 * time.Second
-	defaultMaintain   = time.Second
-	defaultQuarantine = 2 * time.Second
-
-	defaultMaxBody        = 4 << 20
-	defaultMaxHeader      = 32 << 10
-	defaultMaxStreams     = 2000
-	defaultMaxConnections = 4000
-	defaultReadTimeout    = 15 * time.Second
-	defaultWriteTimeout   = 30 * time.Second
-	defaultIdleTimeout    = time.Minute
-	defaultStoreTimeout   = 2 * time.Second
-	defaultPeerTimeout    = time.Second
-
-	// listInterval is the time between two readings of the platform's list.
-	listInterval = 2 * time.Second
-	// resyncInterval is the time between two listings of the registered VMs.
-	resyncInterval = 30 * time.Second
-	// probeFailures is the number of failed probes in a row that make a peer
-	// suspect.
-	probeFailures = 2
-	// probeRounds is the number of rounds of probes for which an answer counts.
-	probeRounds = 4
-)
-
-func (s Settings) withDefaults() Settings {
-	t := &s.Timing
-	setDefault(&t.LeaseTTL, defaultLeaseTTL)
-	setDefault(&t.Survey, defaultSurvey)
-	setDefault(&t.Probe, defaultProbe)
-	setDefault(&t.Reclaim, defaultReclaim)
-	setDefault(&t.Maintain, defaultMaintain)
-	setDefault(&t.Quarantine, defaultQuarantine)
-	l := &s.Limits
-	setDefault(&l.MaxBody, defaultMaxBody)
-	setDefault(&l.MaxHeader, defaultMaxHeader)
-	setDefault(&l.ReadTimeout, defaultReadTimeout)
-	setDefault(&l.MaxStreams, defaultMaxStreams)
-	setDefault(&l.MaxConnections, defaultMaxConnections)
-	setDefault(&l.WriteTimeout, defaultWriteTimeout)
-	setDefault(&l.IdleTimeout, defaultIdleTimeout)
-	setDefault(&l.StoreTimeout, defaultStoreTimeout)
-	setDefault(&l.PeerTimeout, defaultPeerTimeout)
-	return s
-}
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // join registers the VM and begins to follow its peers and the configuration.
 func (r *Router) join() (err error) {
 	s := r.settings
@@ -309,48 +244,3 @@
 		}
 	}
 }
-
-func (r *Router) policy() configuration.Policy {
-	return r.watcher.Current().Policy
-}
-
-func (r *Router) silenceLimit() time.Duration {
-	return time.Duration(r.policy().SilenceLimitMillis) * time.Millisecond
-}
-
-// shareLifetime is the lifetime of shares under the policy in force, or a
-// default before there is one.
-func (r *Router) shareLifetime() time.Duration {
-	if d := time.Duration(r.lifetime.Load()); d > 0 {
-		return d
-	}
-	return defaultShareLifetime
-}
-
-// configure puts the configuration in force in the parts that hold a copy.
-func (r *Router) configure() {
-	c := r.watcher.Current()
-	r.lifetime.Store(int64(c.Policy.ShareLifetimeSeconds) * int64(time.Second))
-	r.directory.Configure(r.settings.Clock(), c)
-}
-
-// mayDeliver reports whether the lease was confirmed within the lifetime of
-// shares.
-func (r *Router) mayDeliver(now time.Time) bool {
-	confirmed := r.registration.Confirmed()
-	return !confirmed.IsZero() && now.Sub(confirmed) < r.shareLifetime()
-}
-
-func (r *Router) liveVMs() []ident.VM {
-	var vms []ident.VM
-	for _, m := range r.members.Peers(r.settings.Clock()) {
-		if m.State == membership.StateLive {
-			vms = append(vms, m.VM)
-		}
-	}
-	return vms
-}
-
-func (r *Router) liveRouters() int {
-	return len(r.liveVMs()) + 1
-}
--- /dev/null
+++ b/internal/router/defaults.go
@@ -0,0 +1,67 @@
+package router
+
+import "time"
+
+const (
+	// journalSize is the number of requests whose decisions are kept.
+	journalSize = 10_000
+	// maxNotices bounds the notices that wait to be sent to keepers.
+	maxNotices = 256
+	// incarnationBytes is the number of random bytes of an incarnation.
+	incarnationBytes = 8
+
+	defaultLeaseTTL   = 10 * time.Second
+	defaultSurvey     = time.Second
+	defaultProbe      = 2 * time.Second
+	defaultReclaim    = 30 * time.Second
+	defaultMaintain   = time.Second
+	defaultQuarantine = 2 * time.Second
+
+	defaultMaxBody        = 4 << 20
+	defaultMaxHeader      = 32 << 10
+	defaultMaxStreams     = 2000
+	defaultMaxConnections = 4000
+	defaultReadTimeout    = 15 * time.Second
+	defaultWriteTimeout   = 30 * time.Second
+	defaultIdleTimeout    = time.Minute
+	defaultStoreTimeout   = 2 * time.Second
+	defaultPeerTimeout    = time.Second
+
+	// listInterval is the time between two readings of the platform's list.
+	listInterval = 2 * time.Second
+	// resyncInterval is the time between two listings of the registered VMs.
+	resyncInterval = 30 * time.Second
+	// probeFailures is the number of failed probes in a row that make a peer
+	// suspect.
+	probeFailures = 2
+	// probeRounds is the number of rounds of probes for which an answer counts.
+	probeRounds = 4
+)
+
+func (s Settings) withDefaults() Settings {
+	t := &s.Timing
+	setDefault(&t.LeaseTTL, defaultLeaseTTL)
+	setDefault(&t.Survey, defaultSurvey)
+	setDefault(&t.Probe, defaultProbe)
+	setDefault(&t.Reclaim, defaultReclaim)
+	setDefault(&t.Maintain, defaultMaintain)
+	setDefault(&t.Quarantine, defaultQuarantine)
+	l := &s.Limits
+	setDefault(&l.MaxBody, defaultMaxBody)
+	setDefault(&l.MaxHeader, defaultMaxHeader)
+	setDefault(&l.ReadTimeout, defaultReadTimeout)
+	setDefault(&l.MaxStreams, defaultMaxStreams)
+	setDefault(&l.MaxConnections, defaultMaxConnections)
+	setDefault(&l.WriteTimeout, defaultWriteTimeout)
+	setDefault(&l.IdleTimeout, defaultIdleTimeout)
+	setDefault(&l.StoreTimeout, defaultStoreTimeout)
+	setDefault(&l.PeerTimeout, defaultPeerTimeout)
+	return s
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
--- /dev/null
+++ b/internal/router/state.go
@@ -0,0 +1,54 @@
+package router
+
+import (
+	"time"
+
+	"example.org/lagoonfork/internal/membership"
+	"example.org/lagoonfork/pkg/configuration"
+	"example.org/lagoonfork/pkg/ident"
+)
+
+func (r *Router) policy() configuration.Policy {
+	return r.watcher.Current().Policy
+}
+
+func (r *Router) silenceLimit() time.Duration {
+	return time.Duration(r.policy().SilenceLimitMillis) * time.Millisecond
+}
+
+// shareLifetime is the lifetime of shares under the policy in force, or a
+// default before there is one.
+func (r *Router) shareLifetime() time.Duration {
+	if d := time.Duration(r.lifetime.Load()); d > 0 {
+		return d
+	}
+	return defaultShareLifetime
+}
+
+// configure puts the configuration in force in the parts that hold a copy.
+func (r *Router) configure() {
+	c := r.watcher.Current()
+	r.lifetime.Store(int64(c.Policy.ShareLifetimeSeconds) * int64(time.Second))
+	r.directory.Configure(r.settings.Clock(), c)
+}
+
+// mayDeliver reports whether the lease was confirmed within the lifetime of
+// shares.
+func (r *Router) mayDeliver(now time.Time) bool {
+	confirmed := r.registration.Confirmed()
+	return !confirmed.IsZero() && now.Sub(confirmed) < r.shareLifetime()
+}
+
+func (r *Router) liveVMs() []ident.VM {
+	var vms []ident.VM
+	for _, m := range r.members.Peers(r.settings.Clock()) {
+		if m.State == membership.StateLive {
+			vms = append(vms, m.VM)
+		}
+	}
+	return vms
+}
+
+func (r *Router) liveRouters() int {
+	return len(r.liveVMs()) + 1
+}
--- a/internal/share/policy.go
+++ b/internal/share/policy.go
@@ -20,8 +20,8 @@
 	// ReserveRequests is the number of usual requests that a budget in use is
 	// kept ready for, whatever its drawing rate.
 	ReserveRequests int
-	// AmplePart is the part of its bound that a share in use holds whatever
-	// its drawing rate, since a rate is known only after a while.
+	// AmplePart is the part of its bound that a share which its own router
+	// spends holds whatever the rate, since a rate is known only after a while.
 	AmplePart float64
 	// FreeFraction bounds all shares together to this part of what is left.
 	FreeFraction float64
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -185,8 +185,16 @@
 	}
 	sized := max(s.Rate*p.Horizon.Seconds(), s.Mean*p.Reach.Seconds(), s.Kept*p.KeepReach.Seconds())
 	limit := s.limit(p)
-	ample := tokens.Count(p.AmplePart * float64(limit))
-	return min(max(tokens.Count(min(sized, largest)), s.floor(p), ample), limit)
+	return min(max(tokens.Count(min(sized, largest)), s.floor(p), s.ample(p, limit)), limit)
+}
+
+// ample is the part of its bound that a share holds which its own router
+// spends, whatever the rate.
+func (s State) ample(p Policy, limit tokens.Count) tokens.Count {
+	if s.Rate == 0 && s.Mean == 0 {
+		return 0
+	}
+	return tokens.Count(p.AmplePart * float64(limit))
 }
 
 // floor is the least reserve of a budget in use.
--- a/internal/share/share_test.go
+++ b/internal/share/share_test.go
@@ -69,7 +69,7 @@
 
 func TestAvailabilityHoldsMore(t *testing.T) {
 	s := inUse()
-	s.Pool = 100_000_000
+	s.Pool = 20_000_000
 	d := Plan(testTime, s, availability())
 	assert.Equal(t, ActionDraw, d.Action)
 	assert.EqualValues(t, 400*15*60, d.Target)
@@ -78,6 +78,18 @@
 	assert.Equal(t, ActionReturn, Plan(testTime, s, caution()).Action)
 }
 
+func TestAmplePartOfARichBudget(t *testing.T) {
+	s := inUse()
+	s.Pool = 100_000_000
+	p := availability()
+	limit := s.limit(p)
+	assert.Equal(t, tokens.Count(p.AmplePart*float64(limit)), Plan(testTime, s, p).Target)
+	assert.Greater(t, Plan(testTime, s, p).Target, tokens.Count(400*15*60))
+	s.Rate, s.Mean = 0, 0
+	assert.Less(t, Plan(testTime, s, p).Target, tokens.Count(400*15*60), "a keeper holds by the others' rate")
+	assert.Zero(t, caution().AmplePart)
+}
+
 func TestLargeHolderMayHoldItsPart(t *testing.T) {
 	s := inUse()
 	s.Pool, s.Mean, s.FleetRate = 300_000, 900, 1000
