Add the book of orders to engines

Orders of successive holders have to be safe at engines that ignore fencing numbers. The book records each order before it is sent; load reports carry the start of the engine so that a lost order can be told from a late one.

--- a/internal/fake/engine/engine.go
+++ b/internal/fake/engine/engine.go
@@ -80,6 +80,7 @@
 	mu        sync.Mutex
 	faults    Faults
 	leaving   bool
+	began     time.Time // of the present life
 	life      *life // nil while crashed
 	started   map[ident.Request]int
 	generated tokens.Count
@@ -197,6 +198,7 @@
 	defer e.mu.Unlock()
 	e.address = raw.Addr().(*net.TCPAddr).AddrPort()
 	e.life = l
+	e.began = e.settings.Clock()
 	e.cache.clear()
 	e.recordLoad()
 	e.t.Go(func() error {
--- a/internal/fake/engine/load.go
+++ b/internal/fake/engine/load.go
@@ -52,6 +52,7 @@
 		AsOf:         e.settings.Clock(),
 		Leaving:      e.leaving,
 		Role:         e.role,
+		Started:      e.began,
 	}
 	if e.life == nil {
 		return l
--- /dev/null
+++ b/internal/orders/queries.go
@@ -0,0 +1,88 @@
+package orders
+
+import (
+	"encoding/json"
+	"slices"
+
+	"github.com/ansel1/merry/v2"
+
+	"example.org/lagoonfork/pkg/engine"
+	"example.org/lagoonfork/pkg/ident"
+)
+
+// Key returns the key of the book of a service.
+func Key(service ident.Service) string {
+	return "orders/" + string(service)
+}
+
+// Decode reads a book. No bytes are the book of a service without orders.
+func Decode(data []byte) (b *Book, err error) {
+	defer func() { err = merry.Prepend(err, "decoding a book of orders") }()
+	b = new(Book)
+	if len(data) == 0 {
+		return b, nil
+	}
+	if err := json.Unmarshal(data, b); err != nil {
+		return nil, err
+	}
+	for up, e := range b.Upstreams {
+		if e == nil {
+			delete(b.Upstreams, up)
+		}
+	}
+	return b, nil
+}
+
+// Encode returns the book as it is kept. The same book gives the same bytes.
+func (b *Book) Encode() ([]byte, error) {
+	return json.Marshal(b)
+}
+
+// Outstanding returns the orders that may yet take effect at an upstream, the
+// oldest first.
+func (b *Book) Outstanding(up ident.Upstream) []Record {
+	if e := b.Upstreams[up]; e != nil {
+		return slices.Clone(e.Outstanding)
+	}
+	return nil
+}
+
+// Tainted reports whether an order of a former holder may yet take effect at an
+// upstream.
+func (b *Book) Tainted(up ident.Upstream) bool {
+	return slices.ContainsFunc(b.Outstanding(up), func(r Record) bool {
+		return r.Order.FencingNumber < b.FencingNumber
+	})
+}
+
+// Current reports whether a report shows all the resolved orders. Nothing is
+// known from one that does not.
+func (b *Book) Current(up ident.Upstream, l engine.Load) bool {
+	e := b.Upstreams[up]
+	return e == nil || !l.AsOf.Before(e.Seen)
+}
+
+// Assured returns the models that an engine which gave the report has loaded,
+// whatever becomes of the outstanding orders.
+func (b *Book) Assured(up ident.Upstream, l engine.Load) []engine.LoadedModel {
+	if !b.Current(up, l) {
+		return nil
+	}
+	outstanding := b.Outstanding(up)
+	return slices.DeleteFunc(slices.Clone(l.LoadedModels), func(m engine.LoadedModel) bool {
+		return slices.ContainsFunc(outstanding, func(r Record) bool { return unloads(r.Order, m) })
+	})
+}
+
+// Possible returns the models that may take up room in the engine.
+func (b *Book) Possible(up ident.Upstream, l engine.Load) []engine.LoadedModel {
+	models := slices.Clone(l.LoadedModels)
+	for _, r := range b.Outstanding(up) {
+		m := engine.LoadedModel{Model: r.Order.Model, Version: r.Order.Version, Adapter: r.Order.Adapter}
+		loads := r.Order.Kind == engine.OrderLoadModel || r.Order.Kind == engine.OrderLoadAdapter
+		if loads && !slices.Contains(models, m) {
+			models = append(models, m)
+		}
+	}
+	return models
+}
--- a/pkg/engine/engine.go
+++ b/pkg/engine/engine.go
@@ -148,6 +148,8 @@
 	AsOf          time.Time     `json:"asOf"`
 	Leaving       bool          `json:"leaving"`
 	Role          Role          `json:"role,omitempty"`
+	// Started is when the engine's process began, if it reports that.
+	Started time.Time `json:"started,omitzero"`
 }
 
 // LoadedModel is a model, at one version and with one adapter or none, that an
