--- a/internal/fake/engine/engine.go
+++ b/internal/fake/engine/engine.go
@@ -81,7 +81,7 @@
 	faults    Faults
 	leaving   bool
 	began     time.Time // of the present life
-	life      *life // nil while crashed
+	life      *life     // nil while crashed
 	started   map[ident.Request]int
 	generated tokens.Count
 	load      loadLog
--- a/internal/orders/commands.go
+++ b/internal/orders/commands.go
@@ -17,31 +17,34 @@
 
 // Intend records an order under number. The order must not be sent before the
 // book is in the key-value service.
-func (b *Book) Intend(number uint64, up ident.Upstream, o engine.Order, basis Basis) error {
+func (b *Book) Intend(number uint64, up ident.Upstream, o engine.Order, basis Basis) (Record, error) {
 	if number != b.FencingNumber {
-		return ErrNotHolder
+		return Record{}, ErrNotHolder
 	}
 	e := b.entry(up)
 	for _, r := range e.Outstanding {
 		if !basis.ChecksFencing || r.Order.FencingNumber >= number || sameTarget(r.Order, o) {
-			return ErrOutstanding
+			return Record{}, ErrOutstanding
 		}
 	}
 	if basis.Load.AsOf.Before(e.Seen) {
-		return ErrOldReport
+		return Record{}, ErrOldReport
 	}
 	if Shows(basis.Load, o) {
-		return ErrNoEffect
+		return Record{}, ErrNoEffect
 	}
 	o.FencingNumber = number
-	e.Outstanding = append(e.Outstanding, Record{
+	b.Recorded++
+	r := Record{
+		Sequence: b.Recorded,
 		Order:    o,
 		Holder:   b.Holder,
 		Recorded: basis.Now,
 		Basis:    basis.Load.AsOf,
 		Started:  basis.Load.Started,
-	})
-	return nil
+	}
+	e.Outstanding = append(e.Outstanding, r)
+	return r, nil
 }
 
 // sameTarget reports whether the effect of one order could be taken for that of
@@ -53,11 +56,11 @@
 	return a.Model == b.Model
 }
 
-// End records that the call with the holder's order has ended, so that the
-// order is not sent any more but may yet take effect. The sender may record it
-// after another has taken over.
-func (b *Book) End(holder ident.Incarnation, number uint64, up ident.Upstream, now time.Time) error {
-	e, i := b.find(holder, number, up)
+// End records that the call with an order has ended, so that the order is not
+// sent any more but may yet take effect. The sender may record it after another
+// has taken over.
+func (b *Book) End(up ident.Upstream, sequence uint64, now time.Time) error {
+	e, i := b.find(up, sequence)
 	if i < 0 {
 		return ErrNoRecord
 	}
@@ -65,11 +68,11 @@
 	return nil
 }
 
-// Withdraw removes an order that the holder did not send and will not, or that
-// was certainly not carried out. The sender may do so after another has taken
-// over.
-func (b *Book) Withdraw(holder ident.Incarnation, number uint64, up ident.Upstream) error {
-	e, i := b.find(holder, number, up)
+// Withdraw removes an order that its recorder did not send and will not, or
+// that was certainly not carried out. The recorder may do so after another has
+// taken over.
+func (b *Book) Withdraw(up ident.Upstream, sequence uint64) error {
+	e, i := b.find(up, sequence)
 	if i < 0 {
 		return ErrNoRecord
 	}
@@ -85,11 +88,13 @@
 		return false
 	}
 	before := len(e.Outstanding)
-	if e.Outstanding[before-1].shown(l) {
-		e.Outstanding = nil
-	} else {
-		e.Outstanding = slices.DeleteFunc(e.Outstanding, func(r Record) bool { return r.lost(l) })
+	for i, r := range slices.Backward(e.Outstanding) {
+		if r.shown(l) {
+			e.Outstanding = e.Outstanding[i+1:] // an engine refuses what is older
+			break
+		}
 	}
+	e.Outstanding = slices.DeleteFunc(e.Outstanding, func(r Record) bool { return r.lost(l) })
 	if len(e.Outstanding) == before {
 		return false
 	}
@@ -133,13 +138,10 @@
 	return e
 }
 
-func (b *Book) find(holder ident.Incarnation, number uint64, up ident.Upstream) (*Entry, int) {
+func (b *Book) find(up ident.Upstream, sequence uint64) (*Entry, int) {
 	e := b.Upstreams[up]
 	if e == nil {
 		return nil, -1
 	}
-	i := slices.IndexFunc(e.Outstanding, func(r Record) bool {
-		return r.Holder == holder && r.Order.FencingNumber == number
-	})
-	return e, i
+	return e, slices.IndexFunc(e.Outstanding, func(r Record) bool { return r.Sequence == sequence })
 }
--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -25,8 +25,8 @@
 //
 //	number := book.TakeOver(incarnation)
 //	// swap the book; then, from a report of the engine:
-//	err := book.Intend(number, upstream, order, orders.Basis{Load: load, Now: now})
-//	// swap the book; only then send book.Outstanding(upstream)[0].Order
+//	record, err := book.Intend(number, upstream, order, orders.Basis{Load: load, Now: now})
+//	// swap the book; only then send record.Order
 //	book.Resolve(upstream, load) // with each later report
 package orders
 
@@ -64,6 +64,7 @@
 type Book struct {
 	Holder        ident.Incarnation         `json:"holder"`
 	FencingNumber uint64                    `json:"fencingNumber"`
+	Recorded      uint64                    `json:"recorded"` // orders so far
 	Upstreams     map[ident.Upstream]*Entry `json:"upstreams,omitempty"`
 }
 
@@ -78,6 +79,8 @@
 
 // Record is an order that may have been sent.
 type Record struct {
+	// Sequence numbers the records of a book, from 1.
+	Sequence uint64            `json:"sequence"`
 	Order    engine.Order      `json:"order"`
 	Holder   ident.Incarnation `json:"holder"`
 	Recorded time.Time         `json:"recorded"`
