--- a/internal/orders/commands.go
+++ b/internal/orders/commands.go
@@ -44,6 +44,9 @@
 		Started:  basis.Load.Started,
 	}
 	e.Outstanding = append(e.Outstanding, r)
+	if isLoad(o) && basis.Now.After(b.LastLoad) {
+		b.LastLoad = basis.Now
+	}
 	return r, nil
 }
 
@@ -59,8 +62,8 @@
 // End records that the call with an order has ended, so that the order is not
 // sent any more but may yet take effect. The sender may record it after another
 // has taken over.
-func (b *Book) End(up ident.Upstream, sequence uint64, now time.Time) error {
-	e, i := b.find(up, sequence)
+func (b *Book) End(up ident.Upstream, sent Record, now time.Time) error {
+	e, i := b.find(up, sent)
 	if i < 0 {
 		return ErrNoRecord
 	}
@@ -71,8 +74,8 @@
 // Withdraw removes an order that its recorder did not send and will not, or
 // that was certainly not carried out. The recorder may do so after another has
 // taken over.
-func (b *Book) Withdraw(up ident.Upstream, sequence uint64) error {
-	e, i := b.find(up, sequence)
+func (b *Book) Withdraw(up ident.Upstream, unsent Record) error {
+	e, i := b.find(up, unsent)
 	if i < 0 {
 		return ErrNoRecord
 	}
@@ -138,10 +141,14 @@
 	return e
 }
 
-func (b *Book) find(up ident.Upstream, sequence uint64) (*Entry, int) {
+// find returns the place of a record. Its sequence number alone does not name
+// it, since the book that the record was made for may not have been kept.
+func (b *Book) find(up ident.Upstream, sought Record) (*Entry, int) {
 	e := b.Upstreams[up]
 	if e == nil {
 		return nil, -1
 	}
-	return e, slices.IndexFunc(e.Outstanding, func(r Record) bool { return r.Sequence == sequence })
+	return e, slices.IndexFunc(e.Outstanding, func(r Record) bool {
+		return r.Sequence == sought.Sequence && r.Holder == sought.Holder && r.Order == sought.Order
+	})
 }
--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -65,6 +65,7 @@
 	Holder        ident.Incarnation         `json:"holder"`
 	FencingNumber uint64                    `json:"fencingNumber"`
 	Recorded      uint64                    `json:"recorded"` // orders so far
+	LastLoad      time.Time                 `json:"lastLoad,omitzero"`
 	Upstreams     map[ident.Upstream]*Entry `json:"upstreams,omitempty"`
 }
 
@@ -130,3 +131,7 @@
 func unloads(o engine.Order, m engine.LoadedModel) bool {
 	return o.Kind == engine.OrderUnloadModel && o.Model == m.Model && (o.Version == "" || o.Version == m.Version)
 }
+
+func isLoad(o engine.Order) bool {
+	return o.Kind == engine.OrderLoadModel || o.Kind == engine.OrderLoadAdapter
+}
--- a/internal/orders/queries.go
+++ b/internal/orders/queries.go
@@ -74,15 +74,21 @@
 	})
 }
 
-// Possible returns the models that may take up room in the engine.
-func (b *Book) Possible(up ident.Upstream, l engine.Load) []engine.LoadedModel {
-	models := slices.Clone(l.LoadedModels)
+// Loading returns the models that outstanding orders may load beside those that
+// the report shows.
+func (b *Book) Loading(up ident.Upstream, l engine.Load) (models []engine.LoadedModel) {
 	for _, r := range b.Outstanding(up) {
-		m := engine.LoadedModel{Model: r.Order.Model, Version: r.Order.Version, Adapter: r.Order.Adapter}
-		loads := r.Order.Kind == engine.OrderLoadModel || r.Order.Kind == engine.OrderLoadAdapter
-		if loads && !slices.Contains(models, m) {
-			models = append(models, m)
+		if isLoad(r.Order) && !Shows(l, r.Order) {
+			models = append(models, engine.LoadedModel{Model: r.Order.Model, Version: r.Order.Version, Adapter: r.Order.Adapter})
 		}
 	}
 	return models
 }
+
+// Unloading returns the models of the report that are not assured.
+func (b *Book) Unloading(up ident.Upstream, l engine.Load) []engine.LoadedModel {
+	assured := b.Assured(up, l)
+	return slices.DeleteFunc(slices.Clone(l.LoadedModels), func(m engine.LoadedModel) bool {
+		return slices.Contains(assured, m)
+	})
+}
