--- /dev/null
+++ b/internal/issuer/issuer_test.go
@@ -0,0 +1,383 @@
+package issuer
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"example.org/lagoonfork/internal/engineclient"
+	"example.org/lagoonfork/internal/fake/engine"
+	"example.org/lagoonfork/internal/fake/keyvalue"
+	"example.org/lagoonfork/internal/fake/weightstore"
+	"example.org/lagoonfork/internal/membership"
+	"example.org/lagoonfork/internal/orders"
+	"example.org/lagoonfork/internal/placement"
+	"example.org/lagoonfork/pkg/configuration"
+	wire "example.org/lagoonfork/pkg/engine"
+	"example.org/lagoonfork/pkg/ident"
+	"example.org/lagoonfork/pkg/store"
+)
+
+// clock is a given time.
+type clock struct {
+	mu  sync.Mutex
+	now time.Time
+}
+
+func (c *clock) Now() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.now
+}
+
+func (c *clock) advance(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.now = c.now.Add(d)
+}
+
+// always is the view of a member that takes itself for the owner of all.
+type always ident.Incarnation
+
+func (a always) Owner(int) (membership.Member, bool) {
+	return membership.Member{Record: membership.Record{Incarnation: ident.Incarnation(a)}}, true
+}
+
+// gate holds orders back before they are sent.
+type gate struct {
+	Engines
+	open chan struct{}
+}
+
+func (g *gate) Order(ctx context.Context, up configuration.Upstream, o wire.Order) error {
+	<-g.open
+	return g.Engines.Order(ctx, up, o)
+}
+
+type rig struct {
+	t       *testing.T
+	clock   *clock
+	kv      *keyvalue.Service
+	weights *weightstore.Store
+	client  *engineclient.Client
+	engines []*engine.Engine
+	service configuration.Service
+}
+
+// newRig has one engine for each entry of checks, all with model a loaded, and
+// a weight store that bears one load in 15 s.
+func newRig(t *testing.T, replicas map[ident.Model]int, checks ...bool) *rig {
+	return newRigWith(t, replicas, netip.AddrPort{}, checks...)
+}
+
+func newRigWith(t *testing.T, replicas map[ident.Model]int, weights netip.AddrPort, checks ...bool) *rig {
+	r := &rig{t: t, clock: &clock{now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)}}
+	r.kv = keyvalue.New(keyvalue.Settings{Clock: r.clock.Now})
+	r.weights = weightstore.New(weightstore.Settings{Rate: 4.0 / 60, Burst: 1, Clock: r.clock.Now})
+	t.Cleanup(func() { assert.NoError(t, r.weights.Close()) })
+	if !weights.IsValid() {
+		weights = r.weights.Address()
+	}
+	limit := func() time.Duration { return time.Minute }
+	r.client = engineclient.New(engineclient.Settings{SilenceLimit: limit, Log: hclog.NewNullLogger(), Clock: r.clock.Now})
+	t.Cleanup(func() { assert.NoError(t, r.client.Close()) })
+	r.service = configuration.Service{ID: "s", Kind: configuration.KindEngine}
+	for _, m := range []ident.Model{"a", "b"} {
+		r.service.Models = append(r.service.Models, configuration.Model{ID: m, Version: "1", Replicas: replicas[m]})
+	}
+	for i, c := range checks {
+		e, err := engine.New(engine.Settings{
+			Models: []wire.LoadedModel{{Model: "a", Version: "1"}}, ChecksFencing: c, WeightStore: weights, Clock: r.clock.Now,
+		})
+		require.NoError(t, err)
+		t.Cleanup(func() { assert.NoError(t, e.Close()) })
+		r.engines = append(r.engines, e)
+		r.service.Upstreams = append(r.service.Upstreams, configuration.Upstream{
+			ID: ident.Upstream(fmt.Sprint("e", i)), Address: e.Address(), ChecksFencing: c,
+			FailureDomain: ident.FailureDomain(fmt.Sprint("d", i%2)),
+		})
+	}
+	return r
+}
+
+func (r *rig) settings(self ident.Incarnation, s store.Store) Settings {
+	return Settings{
+		Services: func() []configuration.Service { return []configuration.Service{r.service} },
+		Engines:  r.client,
+		Store:    s,
+		Members:  always(self),
+		Self:     self,
+		MayAct:   func(time.Time) bool { return true },
+		Policy:   placement.Policy{ModelsPerEngine: 2},
+		Timeout:  time.Minute,
+		Clock:    r.clock.Now,
+		Log:      hclog.NewNullLogger(),
+	}
+}
+
+func (r *rig) issuer(self ident.Incarnation) *Issuer {
+	return newIssuer(r.settings(self, r.kv.Client()))
+}
+
+// rounds does n rounds, each to the end of its orders, and checks the floors.
+func (r *rig) rounds(n int, issuers ...*Issuer) {
+	for range n {
+		r.clock.advance(5 * time.Second)
+		for _, i := range issuers {
+			i.Round(r.t.Context())
+			i.calls.Wait()
+		}
+	}
+}
+
+func (r *rig) loaded(m ident.Model) (n int) {
+	for _, up := range r.service.Upstreams {
+		load, err := r.client.Load(r.t.Context(), up)
+		if err == nil && slices.ContainsFunc(load.LoadedModels, func(l wire.LoadedModel) bool { return l.Model == m }) {
+			n++
+		}
+	}
+	return n
+}
+
+func (r *rig) book() *orders.Book {
+	entry, err := r.kv.Client().Get(r.t.Context(), orders.Key("s"))
+	require.NoError(r.t, err)
+	b, err := orders.Decode(entry.Value)
+	require.NoError(r.t, err)
+	return b
+}
+
+// requireOrdered checks that no engine carried out an order of an older number
+// after one of a newer.
+func (r *rig) requireOrdered() (total int) {
+	for _, e := range r.engines {
+		given := e.Orders()
+		total += len(given)
+		require.True(r.t, slices.IsSortedFunc(given, func(a, b wire.Order) int {
+			return int(a.FencingNumber) - int(b.FencingNumber)
+		}), "%+v", given)
+	}
+	return total
+}
+
+func TestReachesFloors(t *testing.T) {
+	r := newRig(t, map[ident.Model]int{"a": 1, "b": 3}, true, false, false, true)
+	r.rounds(40, r.issuer("one"))
+	assert.Equal(t, 3, r.loaded("b"))
+	assert.Equal(t, 4, r.loaded("a"))
+	assert.Zero(t, r.weights.Refused(), "loads came too fast")
+	assert.EqualValues(t, 3, r.weights.Served())
+	assert.Equal(t, 3, r.requireOrdered())
+	assert.EqualValues(t, 1, r.book().FencingNumber)
+}
+
+// TestLeavesAlone has engines that report no models, and then models that need
+// no replicas.
+func TestLeavesAlone(t *testing.T) {
+	r := newRig(t, map[ident.Model]int{"a": 0, "b": 0}, false)
+	r.rounds(3, r.issuer("one"))
+	r.service.Models[0].Replicas = 1
+	e, err := engine.New(engine.Settings{Clock: r.clock.Now})
+	require.NoError(t, err)
+	defer func() { assert.NoError(t, e.Close()) }()
+	r.service.Upstreams[0].Address = e.Address()
+	r.rounds(3, r.issuer("one"))
+	assert.Zero(t, r.kv.Counts().Writes)
+	assert.Empty(t, e.Orders())
+}
+
+func TestPausedFormerHolder(t *testing.T) {
+	for _, checks := range []bool{false, true} {
+		t.Run(fmt.Sprint("checks ", checks), func(t *testing.T) {
+			r := newRig(t, map[ident.Model]int{"a": 1, "b": 1}, checks)
+			s := r.settings("one", r.kv.Client())
+			g := &gate{Engines: r.client, open: make(chan struct{})}
+			s.Engines = g
+			former, next := newIssuer(s), r.issuer("two")
+			r.clock.advance(time.Minute)
+			former.Round(t.Context()) // its order is recorded and held back
+			require.Len(t, r.book().Outstanding("e0"), 1)
+			r.service.Models = append(r.service.Models, configuration.Model{ID: "c", Version: "1", Replicas: 1})
+			r.rounds(20, next)
+			assert.EqualValues(t, 2, r.book().FencingNumber)
+			assert.Zero(t, r.loaded("b"))
+			if !checks {
+				assert.Zero(t, r.requireOrdered(), "the engine is tainted")
+				assert.True(t, r.book().Tainted("e0"))
+			}
+			close(g.open)
+			former.calls.Wait()
+			r.rounds(20, former, next)
+			r.requireOrdered()
+			assert.False(t, r.book().Tainted("e0"))
+			assert.Equal(t, 1, r.loaded("b"))
+		})
+	}
+}
+
+// pausing is a store whose caller is paused after each write.
+type pausing struct {
+	store.Store
+	clock *clock
+}
+
+func (p pausing) Put(ctx context.Context, key string, value []byte, cond store.Condition, l store.Lease) (store.Revision, error) {
+	revision, err := p.Store.Put(ctx, key, value, cond, l)
+	p.clock.advance(orders.SendWindow)
+	return revision, err
+}
+
+// TestLateOrderIsWithdrawn has a holder that is paused between recording and
+// sending; its successor finds no taint.
+func TestLateOrderIsWithdrawn(t *testing.T) {
+	r := newRig(t, map[ident.Model]int{"a": 1, "b": 1}, false)
+	former := newIssuer(r.settings("one", pausing{r.kv.Client(), r.clock}))
+	r.rounds(2, former)
+	assert.Zero(t, r.requireOrdered())
+	require.NoError(t, former.Close())
+	assert.Empty(t, r.book().Outstanding("e0"))
+	r.rounds(10, r.issuer("two"))
+	assert.Equal(t, 1, r.loaded("b"))
+}
+
+func TestLostStoreAnswers(t *testing.T) {
+	for _, f := range []keyvalue.Faults{{LoseAnswers: 2}, {LoseWrites: 2}, {HoldWrites: 1}} {
+		t.Run(fmt.Sprintf("%+v", f), func(t *testing.T) {
+			r := newRig(t, map[ident.Model]int{"a": 1, "b": 2}, false, false)
+			r.kv.SetFaults(f)
+			i := r.issuer("one")
+			r.rounds(2, i)
+			r.kv.ReleaseHeld()
+			r.rounds(40, i)
+			assert.Equal(t, 2, r.loaded("b"))
+			assert.Equal(t, 2, r.requireOrdered(), "each order is sent once")
+			assert.Empty(t, r.book().Outstanding("e0"))
+		})
+	}
+}
+
+// TestDisplacedDuringLostAnswer takes over while the outcome of the first
+// holder's write is unknown to it, so that its order is in the book unsent.
+func TestDisplacedDuringLostAnswer(t *testing.T) {
+	r := newRig(t, map[ident.Model]int{"a": 1, "b": 1}, false)
+	client := r.kv.Client()
+	former, next := newIssuer(r.settings("one", client)), r.issuer("two")
+	client.SetFaults(keyvalue.Faults{LoseAnswers: 1})
+	r.rounds(1, former)
+	r.rounds(1, next)
+	require.True(t, r.book().Tainted("e0"))
+	r.rounds(1, former)
+	assert.False(t, r.book().Tainted("e0"), "the former holder withdraws what it did not send")
+	r.rounds(10, next)
+	assert.Equal(t, 1, r.requireOrdered())
+	assert.Equal(t, 1, r.loaded("b"))
+}
+
+func TestOutage(t *testing.T) {
+	r := newRig(t, map[ident.Model]int{"a": 1, "b": 2}, false, false)
+	i := r.issuer("one")
+	r.rounds(1, i)
+	before := r.requireOrdered()
+	r.kv.SetFaults(keyvalue.Faults{Outage: true})
+	failed := i.desks["s"].failed
+	r.rounds(64, i)
+	assert.Equal(t, before, r.requireOrdered())
+	assert.Less(t, i.desks["s"].failed-failed, 12, "attempts in 64 rounds")
+	r.kv.SetFaults(keyvalue.Faults{})
+	r.rounds(60, i)
+	assert.Equal(t, 2, r.loaded("b"))
+}
+
+// TestCrashDuringLoad loses the answer to a load. The engine gets no order until
+// it has started again.
+func TestCrashDuringLoad(t *testing.T) {
+	asked, block := make(chan struct{}, 1), make(chan struct{})
+	weights := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		select {
+		case asked <- struct{}{}:
+			<-r.Context().Done()
+		default:
+		}
+		<-block
+	}))
+	defer weights.Close()
+	r := newRigWith(t, map[ident.Model]int{"a": 1, "b": 1}, netip.MustParseAddrPort(weights.Listener.Addr().String()), false, false)
+	i := r.issuer("one")
+	r.clock.advance(time.Minute)
+	i.Round(t.Context())
+	<-asked
+	crashed := r.engines[0]
+	require.Len(t, r.book().Outstanding("e0"), 1)
+	crashed.Crash()
+	i.calls.Wait()
+	close(block)
+	r.rounds(20, i)
+	assert.Len(t, r.book().Outstanding("e0"), 1, "the order may have been carried out")
+	assert.Empty(t, crashed.Orders())
+	assert.Equal(t, 1, r.loaded("b"), "another engine loads the model")
+	require.NoError(t, crashed.Restart())
+	r.rounds(2, i)
+	assert.Empty(t, r.book().Outstanding("e0"))
+	assert.False(t, r.book().Tainted("e0"))
+}
+
+// TestTwoOwners lets two routers take themselves for the owner at the same time,
+// while the demand for replicas changes.
+func TestTwoOwners(t *testing.T) {
+	r := newRig(t, map[ident.Model]int{"a": 2, "b": 2}, true, false, false, true)
+	issuers := []*Issuer{r.issuer("one"), r.issuer("two")}
+	for _, i := range issuers {
+		i.settings.Policy.ModelsPerEngine = 1
+	}
+	for n := range 150 {
+		r.clock.advance(5 * time.Second)
+		var wg sync.WaitGroup
+		for _, i := range issuers {
+			wg.Go(func() { i.Round(t.Context()) })
+		}
+		wg.Wait()
+		for _, i := range issuers {
+			i.calls.Wait()
+		}
+		require.GreaterOrEqual(t, r.loaded("a"), 2, "round %d", n)
+	}
+	r.requireOrdered()
+	assert.Equal(t, 2, r.loaded("b"))
+	assert.Zero(t, r.weights.Refused(), "loads came too fast")
+}
+
+func TestClear(t *testing.T) {
+	r := newRig(t, map[ident.Model]int{"a": 1, "b": 1}, false)
+	client := r.kv.Client()
+	client.SetFaults(keyvalue.Faults{LoseAnswers: 1})
+	r.rounds(1, newIssuer(r.settings("one", client))) // recorded, and never sent
+	next := r.issuer("two")
+	r.rounds(10, next)
+	require.True(t, r.book().Tainted("e0"))
+	require.NoError(t, next.Clear(t.Context(), "s", "e0"))
+	require.ErrorIs(t, next.Clear(t.Context(), "s", "e0"), orders.ErrNoRecord)
+	r.rounds(10, next)
+	assert.Equal(t, 1, r.loaded("b"))
+}
+
+func TestCloseWaits(t *testing.T) {
+	r := newRig(t, map[ident.Model]int{"a": 1, "b": 1}, false)
+	s := r.settings("one", r.kv.Client())
+	s.Interval = time.Hour
+	i := New(s)
+	i.Round(t.Context())
+	require.NoError(t, i.Close())
+	assert.Equal(t, 1, r.loaded("b"))
+	assert.False(t, r.book().Outstanding("e0")[0].Ended.IsZero(), "the end of the order is in the book")
+}
--- /dev/null
+++ b/internal/issuer/plan.go
@@ -0,0 +1,199 @@
+package issuer
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"example.org/lagoonfork/internal/event"
+	"example.org/lagoonfork/internal/orders"
+	"example.org/lagoonfork/internal/placement"
+	"example.org/lagoonfork/pkg/configuration"
+	"example.org/lagoonfork/pkg/engine"
+	"example.org/lagoonfork/pkg/ident"
+)
+
+// reports are the load reports of the upstreams that answered.
+type reports map[ident.Upstream]engine.Load
+
+// plan enters the orders of this round in the book, after a take-over if the
+// router is not the holder.
+func (d *desk) plan(ctx context.Context, w *draft) {
+	s := d.issuer.settings
+	r := d.ask(ctx)
+	if w.book.FencingNumber == 0 && !r.anyModel() {
+		return
+	}
+	now := s.Clock()
+	number := d.number
+	if number == 0 || d.lostAnswer(w.book, now) {
+		number = w.book.TakeOver(s.Self)
+		w.number, w.changed = number, true
+	}
+	for id, load := range r {
+		if w.book.Resolve(id, load) {
+			w.changed = true
+		}
+	}
+	d.planner.Loaded(w.book.LastLoad)
+	for _, m := range d.planner.Plan(now, d.models(r), d.upstreams(w.book, now, r)) {
+		up := d.upstream(m.Upstream)
+		basis := orders.Basis{Load: r[m.Upstream], ChecksFencing: up.ChecksFencing, Now: now}
+		record, err := w.book.Intend(number, m.Upstream, m.Order, basis)
+		if err != nil {
+			continue // the next plan is based on newer reports
+		}
+		w.sendings = append(w.sendings, sending{upstream: up, record: record, reason: m.Reason})
+		w.changed = true
+	}
+}
+
+// ask reads the reports of all upstreams.
+func (d *desk) ask(ctx context.Context) reports {
+	var mu sync.Mutex
+	var g errgroup.Group
+	g.SetLimit(concurrency)
+	r := make(reports, len(d.service.Upstreams))
+	for _, up := range d.service.Upstreams {
+		g.Go(func() error {
+			ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+			defer cancel()
+			load, err := d.issuer.settings.Engines.Load(ctx, up)
+			if err != nil {
+				return nil // the upstream is out of reach and gets no order
+			}
+			load.LoadedModels = d.versioned(load.LoadedModels)
+			mu.Lock()
+			defer mu.Unlock()
+			r[up.ID] = load
+			return nil
+		})
+	}
+	_ = g.Wait() // the goroutines return no errors
+	return r
+}
+
+// versioned gives models that an engine reports without a version the one that
+// is configured, so that they are not loaded anew.
+func (d *desk) versioned(loaded []engine.LoadedModel) []engine.LoadedModel {
+	models := slices.Clone(loaded)
+	for i := range models {
+		m := &models[i]
+		for _, c := range d.service.Models {
+			if m.Version == "" && c.ID == m.Model && c.Adapter == m.Adapter {
+				m.Version = c.Version
+			}
+		}
+	}
+	return models
+}
+
+func (r reports) anyModel() bool {
+	for _, load := range r {
+		if len(load.LoadedModels) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// lostAnswer reports whether the answer to an own order was lost at an engine
+// that checks fencing numbers, so that a new number settles it.
+func (d *desk) lostAnswer(b *orders.Book, now time.Time) bool {
+	for _, up := range d.service.Upstreams {
+		for _, r := range b.Outstanding(up.ID) {
+			if up.ChecksFencing && r.Order.FencingNumber == d.number && stale(r, now) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// stale reports whether the effect of an order should have been seen by now.
+func stale(r orders.Record, now time.Time) bool {
+	return !r.Ended.IsZero() && now.Sub(r.Ended) > staleAfter
+}
+
+func (d *desk) upstream(id ident.Upstream) configuration.Upstream {
+	i := slices.IndexFunc(d.service.Upstreams, func(u configuration.Upstream) bool { return u.ID == id })
+	return d.service.Upstreams[i]
+}
+
+// models returns the configured models with their demand.
+func (d *desk) models(r reports) []placement.Model {
+	demand := make(map[ident.Model]float64)
+	for _, load := range r {
+		for _, m := range load.LoadedModels {
+			demand[m.Model] += float64(load.QueuedTokens+load.RunningTokens) / float64(len(load.LoadedModels))
+		}
+	}
+	models := make([]placement.Model, len(d.service.Models))
+	for i, m := range d.service.Models {
+		models[i] = placement.Model{
+			LoadedModel: engine.LoadedModel{Model: m.ID, Version: m.Version, Adapter: m.Adapter},
+			Floor:       m.Replicas,
+			Demand:      demand[m.ID],
+		}
+	}
+	return models
+}
+
+// upstreams returns the engines as the book and the reports show them.
+func (d *desk) upstreams(b *orders.Book, now time.Time, r reports) []placement.Upstream {
+	var leaving map[ident.Upstream]bool
+	if f := d.issuer.settings.Leaving; f != nil {
+		leaving = f(d.service.ID)
+	}
+	all := make([]placement.Upstream, len(d.service.Upstreams))
+	for i, up := range d.service.Upstreams {
+		load, answered := r[up.ID]
+		known := answered && b.Current(up.ID, load)
+		all[i] = placement.Upstream{
+			ID:        up.ID,
+			Domain:    up.FailureDomain,
+			Leaving:   !known || load.Leaving || leaving[up.ID],
+			Busy:      busy(b, up),
+			Tainted:   d.doubtful(b, up.ID, now),
+			Assured:   b.Assured(up.ID, load),
+			Loading:   b.Loading(up.ID, load),
+			Unloading: b.Unloading(up.ID, load),
+		}
+	}
+	d.reportTainted(b)
+	return all
+}
+
+// busy reports whether an engine may get no order yet.
+func busy(b *orders.Book, up configuration.Upstream) bool {
+	return slices.ContainsFunc(b.Outstanding(up.ID), func(r orders.Record) bool {
+		return !up.ChecksFencing || r.Order.FencingNumber == b.FencingNumber
+	})
+}
+
+// doubtful reports whether nothing is to be expected of an outstanding order:
+// it is of another holder, or its effect should have been seen by now.
+func (d *desk) doubtful(b *orders.Book, up ident.Upstream, now time.Time) bool {
+	return slices.ContainsFunc(b.Outstanding(up), func(r orders.Record) bool {
+		return r.Holder != d.issuer.settings.Self || stale(r, now)
+	})
+}
+
+// reportTainted logs each engine that has become tainted.
+func (d *desk) reportTainted(b *orders.Book) {
+	tainted := make(map[ident.Upstream]bool)
+	for _, up := range d.service.Upstreams {
+		if !b.Tainted(up.ID) || up.ChecksFencing {
+			continue
+		}
+		tainted[up.ID] = true
+		if !d.tainted[up.ID] {
+			event.UpstreamTainted.Warn(d.issuer.settings.Log, "service", d.service.ID, "upstream", up.ID,
+				"order", b.Outstanding(up.ID)[0].Order)
+		}
+	}
+	d.tainted = tainted
+}
