Run the issuer of orders in the router

Orders to engines were defined and given by nobody. Each router runs an issuer for the services whose engines report loaded models and whose models have replicas; it acts only while its lease was confirmed within half its time to live.

--- a/internal/issuer/issuer_test.go
+++ b/internal/issuer/issuer_test.go
@@ -245,7 +245,7 @@
 	former := newIssuer(r.settings("one", pausing{r.kv.Client(), r.clock}))
 	r.rounds(2, former)
 	assert.Zero(t, r.requireOrdered())
-	require.NoError(t, former.Close())
+	former.flush()
 	assert.Empty(t, r.book().Outstanding("e0"))
 	r.rounds(10, r.issuer("two"))
 	assert.Equal(t, 1, r.loaded("b"))
@@ -253,7 +253,7 @@
 
 func TestLostStoreAnswers(t *testing.T) {
 	for _, f := range []keyvalue.Faults{{LoseAnswers: 2}, {LoseWrites: 2}, {HoldWrites: 1}} {
-		t.Run(fmt.Sprintf("%+v", f), func(t *testing.T) {
+		t.Run(fmt.Sprintf("%d answers, %d writes lost, %d held", f.LoseAnswers, f.LoseWrites, f.HoldWrites), func(t *testing.T) {
 			r := newRig(t, map[ident.Model]int{"a": 1, "b": 2}, false, false)
 			r.kv.SetFaults(f)
 			i := r.issuer("one")
@@ -302,14 +302,13 @@
 // TestCrashDuringLoad loses the answer to a load. The engine gets no order until
 // it has started again.
 func TestCrashDuringLoad(t *testing.T) {
-	asked, block := make(chan struct{}, 1), make(chan struct{})
+	asked := make(chan struct{})
+	var first sync.Once
 	weights := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
-		select {
-		case asked <- struct{}{}:
+		first.Do(func() {
+			close(asked)
 			<-r.Context().Done()
-		default:
-		}
-		<-block
+		})
 	}))
 	defer weights.Close()
 	r := newRigWith(t, map[ident.Model]int{"a": 1, "b": 1}, netip.MustParseAddrPort(weights.Listener.Addr().String()), false, false)
@@ -321,7 +320,6 @@
 	require.Len(t, r.book().Outstanding("e0"), 1)
 	crashed.Crash()
 	i.calls.Wait()
-	close(block)
 	r.rounds(20, i)
 	assert.Len(t, r.book().Outstanding("e0"), 1, "the order may have been carried out")
 	assert.Empty(t, crashed.Orders())
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -188,9 +188,9 @@
 }
 
 // makeRoom unloads a copy of the model that needs it least, if the need of m is
-// greater by factor and no room is free or being freed.
+// greater by factor and no room is free for it.
 func (x *plan) makeRoom(m engine.LoadedModel, factor float64) {
-	if x.freeing() >= x.policy.LoadsInFlight-x.inFlight {
+	if x.bestRoom(m) != nil || x.freeing() >= x.policy.LoadsInFlight-x.inFlight {
 		return
 	}
 	var victim *Upstream
--- a/internal/router/compose.go
+++ b/internal/router/compose.go
@@ -10,6 +10,7 @@
 	"example.org/lagoonfork/internal/directory"
 	"example.org/lagoonfork/internal/dispatch"
 	"example.org/lagoonfork/internal/engineclient"
+	"example.org/lagoonfork/internal/issuer"
 	"example.org/lagoonfork/internal/ledger/committer"
 	"example.org/lagoonfork/internal/membership"
 	"example.org/lagoonfork/internal/membership/follower"
@@ -41,6 +42,7 @@
 	defaultReclaim    = 30 * time.Second
 	defaultMaintain   = time.Second
 	defaultQuarantine = 2 * time.Second
+	defaultOrders     = 5 * time.Second
 
 	defaultMaxBody        = 4 << 20
 	defaultMaxHeader      = 32 << 10
@@ -71,6 +73,7 @@
 	setDefault(&t.Reclaim, defaultReclaim)
 	setDefault(&t.Maintain, defaultMaintain)
 	setDefault(&t.Quarantine, defaultQuarantine)
+	setDefault(&t.Orders, defaultOrders)
 	l := &s.Limits
 	setDefault(&l.MaxBody, defaultMaxBody)
 	setDefault(&l.MaxHeader, defaultMaxHeader)
@@ -231,6 +234,19 @@
 		Clock:    s.Clock,
 		Log:      s.Log,
 	})
+	r.issuer = issuer.New(issuer.Settings{
+		Services: func() []configuration.Service { return r.watcher.Current().Services },
+		Engines:  r.engines,
+		Store:    s.Store,
+		Members:  r.members,
+		Self:     r.incarnation,
+		MayAct:   r.mayOrder,
+		Leaving:  r.leavingUpstreams,
+		Interval: s.Timing.Orders,
+		Timeout:  s.Limits.StoreTimeout,
+		Clock:    s.Clock,
+		Log:      s.Log,
+	})
 	r.tomb.Go(r.followConfiguration)
 	r.tomb.Go(r.sendNotices)
 }
@@ -328,6 +344,25 @@
 	return !confirmed.IsZero() && now.Sub(confirmed) < r.shareLifetime()
 }
 
+// mayOrder reports whether the lease was confirmed within half its time to live,
+// before which no other router takes this one for dead.
+func (r *Router) mayOrder(now time.Time) bool {
+	confirmed := r.registration.Confirmed()
+	return !confirmed.IsZero() && now.Sub(confirmed) < r.settings.Timing.LeaseTTL/2
+}
+
+// leavingUpstreams returns the upstreams of a service that the routing table
+// holds to be leaving.
+func (r *Router) leavingUpstreams(id ident.Service) map[ident.Upstream]bool {
+	leaving := make(map[ident.Upstream]bool)
+	if s, ok := r.directory.Service(id); ok {
+		for _, up := range s.Table.Status() {
+			leaving[up.Upstream] = up.Leaving
+		}
+	}
+	return leaving
+}
+
 func (r *Router) liveVMs() []ident.VM {
 	var vms []ident.VM
 	for _, m := range r.members.Peers(r.settings.Clock()) {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -35,6 +35,7 @@
 	"example.org/lagoonfork/internal/dispatch"
 	"example.org/lagoonfork/internal/engineclient"
 	"example.org/lagoonfork/internal/event"
+	"example.org/lagoonfork/internal/issuer"
 	"example.org/lagoonfork/internal/journal"
 	"example.org/lagoonfork/internal/ledger/committer"
 	"example.org/lagoonfork/internal/membership/follower"
@@ -96,6 +97,7 @@
 	Reclaim    time.Duration
 	Maintain   time.Duration
 	Quarantine time.Duration
+	Orders     time.Duration
 	// DrainDelay is how long a stopping router still takes new requests, until
 	// the platform's balancer has seen that it is not ready.
 	DrainDelay time.Duration
@@ -129,6 +131,7 @@
 	surveyor     *survey.Surveyor
 	prober       *probe.Prober
 	reclaimer    *reclaim.Reclaimer
+	issuer       *issuer.Issuer
 	journal      *journal.Journal
 	notices      chan wallet.Notice
 
@@ -179,6 +182,7 @@
 	err = errors.Join(
 		r.callers.Shutdown(ctx),
 		r.dispatcher.Close(ctx),
+		r.issuer.Close(),
 		r.reclaimer.Close(),
 		r.surveyor.Close(),
 		r.prober.Close(),
