Announce unloads before they are ordered

A request that met an engine just after it had unloaded the model was refused with status 400. An unload now stands in the book for a while, and the routing tables take the model for gone before the engine does. A floor frees no more places than it needs.

--- a/internal/issuer/desk.go
+++ b/internal/issuer/desk.go
@@ -67,16 +67,13 @@
 	return b.End(n.upstream.ID, n.record, n.ended)
 }
 
-// round does one round. A router that is not the owner only records what became
-// of its own orders.
+// round does one round. A router that is not the owner only reads the book and
+// records what became of its own orders.
 func (d *desk) round(ctx context.Context, owner bool) {
 	if d.skip > 0 {
 		d.skip--
 		return
 	}
-	if !owner && d.pending == nil && len(d.taken()) == 0 {
-		return
-	}
 	err := d.work(ctx, owner)
 	switch {
 	case err == nil:
@@ -147,6 +144,7 @@
 func (d *desk) write(ctx context.Context, w *draft) (err error) {
 	if !w.changed {
 		d.dropNotes(w.notes)
+		d.look(w.book)
 		return nil
 	}
 	if w.data == nil {
@@ -172,6 +170,7 @@
 	s := d.issuer.settings
 	d.pending = nil
 	d.dropNotes(w.notes)
+	d.look(w.book)
 	if w.number != 0 {
 		d.number = w.number
 		event.OrdersTakenOver.Info(s.Log, "service", d.service.ID, "fencingNumber", d.number)
--- a/internal/issuer/issuer.go
+++ b/internal/issuer/issuer.go
@@ -14,6 +14,10 @@
 // loaded, from their own reports, so that the work of all routers counts. An
 // engine's tokens count in equal parts for the models that it has loaded.
 //
+// An unload is announced in the book for a while before it is ordered. All
+// routers read the book, and Staying tells them which models of a report to
+// route to, so that no request meets an engine that has just unloaded its model.
+//
 // # Usage
 //
 //	i := issuer.New(issuer.Settings{Services: services, Engines: client, Store: s, ...})
@@ -78,9 +82,13 @@
 	Leaving  func(ident.Service) map[ident.Upstream]bool
 	Policy   placement.Policy
 	Interval time.Duration // between two rounds
-	Timeout  time.Duration // of one call of the store
-	Clock    func() time.Time
-	Log      hclog.Logger
+	// Drain is how long an unload is announced in the book before it is
+	// ordered. It covers two rounds and two surveys, so that the routers have
+	// learned of it.
+	Drain   time.Duration
+	Timeout time.Duration // of one call of the store
+	Clock   func() time.Time
+	Log     hclog.Logger
 }
 
 // Engines reads reports and gives orders.
@@ -104,6 +112,9 @@
 
 	mu    sync.Mutex // held over a round
 	desks map[ident.Service]*desk
+
+	viewMu sync.Mutex
+	views  map[ident.Upstream]view
 }
 
 // New returns an issuer and starts its work.
@@ -114,7 +125,7 @@
 }
 
 func newIssuer(s Settings) *Issuer {
-	i := &Issuer{settings: s, desks: make(map[ident.Service]*desk)}
+	i := &Issuer{settings: s, desks: make(map[ident.Service]*desk), views: make(map[ident.Upstream]view)}
 	i.sending, i.cut = context.WithCancel(context.Background())
 	return i
 }
--- a/internal/issuer/plan.go
+++ b/internal/issuer/plan.go
@@ -38,19 +38,69 @@
 			w.changed = true
 		}
 	}
+	d.unloadAnnounced(w, number, now, r)
 	d.planner.Loaded(w.book.LastLoad)
 	for _, m := range d.planner.Plan(now, d.models(r), d.upstreams(w.book, now, r)) {
-		up := d.upstream(m.Upstream)
-		basis := orders.Basis{Load: r[m.Upstream], ChecksFencing: up.ChecksFencing, Now: now}
-		record, err := w.book.Intend(number, m.Upstream, m.Order, basis)
-		if err != nil {
-			continue // the next plan is based on newer reports
+		if m.Order.Kind == engine.OrderUnloadModel {
+			w.changed = w.book.Announce(number, m.Upstream, m.Order, now) == nil || w.changed
+			continue
+		}
+		d.intend(w, number, now, r, m)
+	}
+}
+
+// intend enters an order in the book. One that may not be given yet is left to
+// the next plan, which is based on newer reports.
+func (d *desk) intend(w *draft, number uint64, now time.Time, r reports, m placement.Move) {
+	up := d.upstream(m.Upstream)
+	basis := orders.Basis{Load: r[m.Upstream], ChecksFencing: up.ChecksFencing, Now: now}
+	record, err := w.book.Intend(number, m.Upstream, m.Order, basis)
+	if err != nil {
+		return
+	}
+	w.sendings = append(w.sendings, sending{upstream: up, record: record, reason: m.Reason})
+	w.changed = true
+}
+
+// unloadAnnounced gives the orders that were announced for long enough, unless
+// too few engines are left without them.
+func (d *desk) unloadAnnounced(w *draft, number uint64, now time.Time, r reports) {
+	for _, up := range d.service.Upstreams {
+		a, ok := w.book.Announced(up.ID)
+		if !ok || now.Sub(a.Since) < d.issuer.settings.Drain {
+			continue
 		}
-		w.sendings = append(w.sendings, sending{upstream: up, record: record, reason: m.Reason})
+		if d.spares(w.book, now, r, a.Order) {
+			d.intend(w, number, now, r, placement.Move{Upstream: up.ID, Order: a.Order, Reason: placement.ReasonAnnounced})
+		}
+		w.book.Unannounce(up.ID)
 		w.changed = true
 	}
 }
 
+// spares reports whether every model that an announced unload concerns keeps
+// its floor on the other engines.
+func (d *desk) spares(b *orders.Book, now time.Time, r reports, o engine.Order) bool {
+	upstreams := d.upstreams(b, now, r)
+	for _, m := range d.service.Models {
+		if m.ID != o.Model {
+			continue
+		}
+		copies := 0
+		for _, u := range upstreams {
+			if !u.Leaving && slices.ContainsFunc(u.Assured, func(l engine.LoadedModel) bool {
+				return l.Model == m.ID && (l.Version == m.Version || o.Version != m.Version)
+			}) {
+				copies++
+			}
+		}
+		if copies < max(m.Replicas, 1) {
+			return false
+		}
+	}
+	return true
+}
+
 // ask reads the reports of all upstreams.
 func (d *desk) ask(ctx context.Context) reports {
 	var mu sync.Mutex
@@ -169,6 +219,9 @@
 
 // busy reports whether an engine may get no order yet.
 func busy(b *orders.Book, up configuration.Upstream) bool {
+	if _, announced := b.Announced(up.ID); announced {
+		return true
+	}
 	return slices.ContainsFunc(b.Outstanding(up.ID), func(r orders.Record) bool {
 		return !up.ChecksFencing || r.Order.FencingNumber == b.FencingNumber
 	})
--- a/internal/orders/commands.go
+++ b/internal/orders/commands.go
@@ -59,6 +59,26 @@
 	return a.Model == b.Model
 }
 
+// Announce records that an unload will be ordered later. The model no longer
+// counts as assured.
+func (b *Book) Announce(number uint64, up ident.Upstream, o engine.Order, now time.Time) error {
+	if number != b.FencingNumber {
+		return ErrNotHolder
+	}
+	e := b.entry(up)
+	if e.Drain != nil {
+		return ErrOutstanding
+	}
+	e.Drain = &Drain{Order: o, Since: now}
+	return nil
+}
+
+// Unannounce ends the announcement of an unload, which is ordered now or not at
+// all.
+func (b *Book) Unannounce(up ident.Upstream) {
+	b.entry(up).Drain = nil
+}
+
 // End records that the call with an order has ended, so that the order is not
 // sent any more but may yet take effect. The sender may record it after another
 // has taken over.
--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -76,6 +76,15 @@
 	Seen time.Time `json:"seen"`
 	// Outstanding holds the orders that may yet take effect, the oldest first.
 	Outstanding []Record `json:"outstanding,omitempty"`
+	// Drain is an unload that is announced, so that routers send the engine no
+	// more requests for the model before the order is given.
+	Drain *Drain `json:"drain,omitempty"`
+}
+
+// Drain is an announced unload.
+type Drain struct {
+	Order engine.Order `json:"order"`
+	Since time.Time    `json:"since"`
 }
 
 // Record is an order that may have been sent.
--- a/internal/orders/queries.go
+++ b/internal/orders/queries.go
@@ -47,6 +47,15 @@
 	return nil
 }
 
+// Announced returns the unload that is announced for an upstream, if any.
+func (b *Book) Announced(up ident.Upstream) (d Drain, ok bool) {
+	e := b.Upstreams[up]
+	if e == nil || e.Drain == nil {
+		return Drain{}, false
+	}
+	return *e.Drain, true
+}
+
 // Tainted reports whether an order of a former holder may yet take effect at an
 // upstream.
 func (b *Book) Tainted(up ident.Upstream) bool {
@@ -63,14 +72,23 @@
 }
 
 // Assured returns the models that an engine which gave the report has loaded,
-// whatever becomes of the outstanding orders.
+// whatever becomes of the outstanding orders and the announced ones. Nothing is
+// assured by a report that is older than the last order.
 func (b *Book) Assured(up ident.Upstream, l engine.Load) []engine.LoadedModel {
 	if !b.Current(up, l) {
 		return nil
 	}
-	outstanding := b.Outstanding(up)
+	return b.Staying(up, l)
+}
+
+// Staying returns the models of a report that no order takes away.
+func (b *Book) Staying(up ident.Upstream, l engine.Load) []engine.LoadedModel {
+	going := b.Outstanding(up)
+	if d, ok := b.Announced(up); ok {
+		going = append(going, Record{Order: d.Order})
+	}
 	return slices.DeleteFunc(slices.Clone(l.LoadedModels), func(m engine.LoadedModel) bool {
-		return slices.ContainsFunc(outstanding, func(r Record) bool { return unloads(r.Order, m) })
+		return slices.ContainsFunc(going, func(r Record) bool { return unloads(r.Order, m) })
 	})
 }
 
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -94,6 +94,8 @@
 	ReasonDemand   Reason = "demand"
 	ReasonMakeRoom Reason = "makeRoom"
 	ReasonObsolete Reason = "obsolete"
+	// ReasonAnnounced is that of an unload planned before.
+	ReasonAnnounced Reason = "announced"
 )
 
 // Move is an order to give. Its fencing number is not set.
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -110,9 +110,14 @@
 
 // reachFloors loads models that have too few copies.
 func (x *plan) reachFloors() {
+	wanted := 0 // places
 	for _, m := range x.models {
 		for missing := m.Floor - x.copies(m.LoadedModel); missing > 0; missing-- {
-			if !x.place(m.LoadedModel, ReasonFloor) {
+			if x.place(m.LoadedModel, ReasonFloor) {
+				continue
+			}
+			wanted++
+			if x.freeing() < wanted {
 				x.makeRoom(m.LoadedModel, 0)
 			}
 		}
--- a/internal/router/compose.go
+++ b/internal/router/compose.go
@@ -25,6 +25,7 @@
 	"example.org/lagoonfork/internal/survey"
 	"example.org/lagoonfork/internal/wallet"
 	"example.org/lagoonfork/pkg/configuration"
+	"example.org/lagoonfork/pkg/engine"
 	"example.org/lagoonfork/pkg/ident"
 )
 
@@ -216,9 +217,23 @@
 // background starts the work that no request asks for.
 func (r *Router) background() {
 	s := r.settings
+	r.issuer = issuer.New(issuer.Settings{
+		Services: func() []configuration.Service { return r.watcher.Current().Services },
+		Engines:  r.engines,
+		Store:    s.Store,
+		Members:  r.members,
+		Self:     r.incarnation,
+		MayAct:   r.mayOrder,
+		Leaving:  r.leavingUpstreams,
+		Interval: s.Timing.Orders,
+		Drain:    2 * (s.Timing.Orders + s.Timing.Survey),
+		Timeout:  s.Limits.StoreTimeout,
+		Clock:    s.Clock,
+		Log:      s.Log,
+	})
 	r.surveyor = survey.New(survey.Settings{
 		Directory: r.directory,
-		Engines:   r.engines,
+		Engines:   surveyed{r.engines, r.issuer},
 		VMs:       s.VMs,
 		Interval:  s.Timing.Survey,
 		Clock:     s.Clock,
@@ -234,19 +249,6 @@
 		Clock:    s.Clock,
 		Log:      s.Log,
 	})
-	r.issuer = issuer.New(issuer.Settings{
-		Services: func() []configuration.Service { return r.watcher.Current().Services },
-		Engines:  r.engines,
-		Store:    s.Store,
-		Members:  r.members,
-		Self:     r.incarnation,
-		MayAct:   r.mayOrder,
-		Leaving:  r.leavingUpstreams,
-		Interval: s.Timing.Orders,
-		Timeout:  s.Limits.StoreTimeout,
-		Clock:    s.Clock,
-		Log:      s.Log,
-	})
 	r.tomb.Go(r.followConfiguration)
 	r.tomb.Go(r.sendNotices)
 }
@@ -344,6 +346,18 @@
 	return !confirmed.IsZero() && now.Sub(confirmed) < r.shareLifetime()
 }
 
+// surveyed reads the reports for the routing tables without the models that are
+// about to be unloaded.
+type surveyed struct {
+	*engineclient.Client
+	issuer *issuer.Issuer
+}
+
+// Load returns the upstream's report of its load.
+func (s surveyed) Load(ctx context.Context, up configuration.Upstream) (engine.Load, error) {
+	return s.issuer.Load(ctx, up)
+}
+
 // mayOrder reports whether the lease was confirmed within half its time to live,
 // before which no other router takes this one for dead.
 func (r *Router) mayOrder(now time.Time) bool {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -182,9 +182,9 @@
 	err = errors.Join(
 		r.callers.Shutdown(ctx),
 		r.dispatcher.Close(ctx),
-		r.issuer.Close(),
 		r.reclaimer.Close(),
 		r.surveyor.Close(),
+		r.issuer.Close(),
 		r.prober.Close(),
 		r.quarantine.Close(),
 		r.wallet.Close(ctx),
