--- a/internal/issuer/desk.go
+++ b/internal/issuer/desk.go
@@ -9,6 +9,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"example.org/lagoonfork/internal/engineclient"
 	"example.org/lagoonfork/internal/event"
 	"example.org/lagoonfork/internal/orders"
 	"example.org/lagoonfork/internal/placement"
@@ -43,6 +44,7 @@
 	data     []byte // encoded, once it is written
 	changed  bool
 	number   uint64 // of a take-over, or 0
+	renew    bool   // the number, since an engine has seen a higher one
 	notes    int    // of the desk, that the book contains
 	sendings []sending
 }
@@ -58,6 +60,7 @@
 type note struct {
 	sending
 	ended time.Time // zero if the order was withdrawn
+	stale bool      // the engine has seen a higher number
 }
 
 func (n note) enter(b *orders.Book) error {
@@ -198,7 +201,7 @@
 	err := s.Engines.Order(ctx, o.upstream, o.record.Order)
 	if err != nil && certain(err) {
 		event.OrderWithdrawn.Info(s.Log, "upstream", o.upstream.ID, "order", o.record.Order, "cause", err.Error())
-		d.note(note{sending: o})
+		d.note(note{sending: o, stale: errors.Is(err, engineclient.ErrStaleOrder)})
 		return
 	}
 	event.OrderEnded.Info(s.Log, "upstream", o.upstream.ID, "order", o.record.Order, "error", err)
@@ -223,6 +226,7 @@
 	notes := d.taken()
 	w.notes = len(notes)
 	for _, n := range notes {
+		w.renew = w.renew || n.stale
 		if n.enter(w.book) == nil {
 			w.changed = true
 		}
--- a/internal/issuer/issuer_test.go
+++ b/internal/issuer/issuer_test.go
@@ -379,3 +379,137 @@
 	assert.Equal(t, 1, r.loaded("b"))
 	assert.False(t, r.book().Outstanding("e0")[0].Ended.IsZero(), "the end of the order is in the book")
 }
+
+// TestUnloadIsAnnounced has a router that gives no orders learn of an unload
+// before the engine does, and the holder give it up when a copy is lost.
+func TestUnloadIsAnnounced(t *testing.T) {
+	for _, crash := range []bool{false, true} {
+		t.Run(fmt.Sprint("crash ", crash), func(t *testing.T) {
+			r := newRig(t, map[ident.Model]int{"a": 1, "b": 1}, false, false)
+			s := r.settings("one", r.kv.Client())
+			s.Policy.ModelsPerEngine = 1
+			s.Drain = 20 * time.Second
+			holder, other := newIssuer(s), r.issuer("two")
+			other.settings.Members = always("one")
+			r.rounds(3, holder, other)
+			assert.Zero(t, r.requireOrdered())
+			gone, stays := -1, -1
+			for i, up := range r.service.Upstreams {
+				load, err := other.Load(t.Context(), up)
+				require.NoError(t, err)
+				if load.LoadedModels[0].Model == "" {
+					gone = i
+				} else {
+					stays = i
+				}
+			}
+			require.GreaterOrEqual(t, min(gone, stays), 0)
+			if crash {
+				r.engines[stays].Crash()
+			}
+			r.rounds(20, holder, other)
+			if crash {
+				assert.Empty(t, r.engines[gone].Orders(), "the last copy stays")
+				return
+			}
+			assert.Len(t, r.engines[gone].Orders(), 2)
+			assert.Empty(t, r.engines[stays].Orders())
+			load, err := other.Load(t.Context(), r.service.Upstreams[gone])
+			require.NoError(t, err)
+			assert.Equal(t, []wire.LoadedModel{{Model: "b", Version: "1"}}, load.LoadedModels)
+		})
+	}
+}
+
+// TestLapsedLease has the lease lapse between recording and sending.
+func TestLapsedLease(t *testing.T) {
+	r := newRig(t, map[ident.Model]int{"a": 1, "b": 1}, false)
+	s := r.settings("one", r.kv.Client())
+	asked := 0
+	s.MayAct = func(time.Time) bool { asked++; return asked == 1 }
+	i := newIssuer(s)
+	r.rounds(1, i)
+	require.Len(t, r.book().Outstanding("e0"), 1)
+	assert.Zero(t, r.requireOrdered())
+	i.flush()
+	assert.Empty(t, r.book().Outstanding("e0"))
+}
+
+// releasing lets held writes take effect after each read.
+type releasing struct {
+	store.Store
+	kv *keyvalue.Service
+}
+
+func (s releasing) Get(ctx context.Context, key string) (store.Entry, error) {
+	defer s.kv.ReleaseHeld()
+	return s.Store.Get(ctx, key)
+}
+
+// TestHeldWrite has a write take effect after the holder looked for it.
+func TestHeldWrite(t *testing.T) {
+	r := newRig(t, map[ident.Model]int{"a": 1, "b": 1}, false)
+	r.kv.SetFaults(keyvalue.Faults{HoldWrites: 1})
+	r.rounds(10, newIssuer(r.settings("one", releasing{r.kv.Client(), r.kv})))
+	assert.Equal(t, 1, r.loaded("b"))
+	assert.Equal(t, 1, r.requireOrdered())
+}
+
+// losing loses the first order on its way.
+type losing struct {
+	Engines
+	lost bool
+}
+
+func (l *losing) Order(ctx context.Context, up configuration.Upstream, o wire.Order) error {
+	if !l.lost {
+		l.lost = true
+		return engineclient.ErrLost
+	}
+	return l.Engines.Order(ctx, up, o)
+}
+
+// TestLostOrder loses an order. An engine that checks the number gets another
+// under a new one, which settles the first; one that does not gets none.
+func TestLostOrder(t *testing.T) {
+	for _, checks := range []bool{false, true} {
+		t.Run(fmt.Sprint("checks ", checks), func(t *testing.T) {
+			r := newRig(t, map[ident.Model]int{"a": 1, "b": 1}, checks)
+			r.service.Models = append(r.service.Models, configuration.Model{ID: "c", Version: "1", Replicas: 1})
+			s := r.settings("one", r.kv.Client())
+			s.Engines = &losing{Engines: r.client}
+			s.Policy.ModelsPerEngine = 3
+			r.rounds(40, newIssuer(s))
+			if !checks {
+				assert.Zero(t, r.requireOrdered())
+				return
+			}
+			assert.EqualValues(t, 2, r.book().FencingNumber)
+			assert.Equal(t, 2, r.requireOrdered())
+			assert.Equal(t, 1, r.loaded("b"))
+			assert.Equal(t, 1, r.loaded("c"))
+		})
+	}
+}
+
+// TestEngineAhead has an engine that has seen a higher number than the book's.
+func TestEngineAhead(t *testing.T) {
+	r := newRig(t, map[ident.Model]int{"a": 1, "b": 1}, true)
+	order := wire.Order{FencingNumber: 3, Kind: wire.OrderChangeRole, Role: wire.RoleDecode}
+	require.NoError(t, r.client.Order(t.Context(), r.service.Upstreams[0], order))
+	r.rounds(20, r.issuer("one"))
+	assert.Equal(t, 1, r.loaded("b"))
+	r.requireOrdered()
+}
+
+// TestRateOutlivesHolder takes over right after a load.
+func TestRateOutlivesHolder(t *testing.T) {
+	r := newRig(t, map[ident.Model]int{"a": 1, "b": 2}, false, false)
+	r.rounds(1, r.issuer("one"))
+	next := r.issuer("two")
+	r.rounds(1, next)
+	assert.EqualValues(t, 1, r.weights.Served()+r.weights.Refused())
+	r.rounds(10, next)
+	assert.EqualValues(t, 2, r.weights.Served())
+	assert.Zero(t, r.weights.Refused())
+}
--- a/internal/issuer/plan.go
+++ b/internal/issuer/plan.go
@@ -29,7 +29,7 @@
 	}
 	now := s.Clock()
 	number := d.number
-	if number == 0 || d.lostAnswer(w.book, now) {
+	if number == 0 || w.renew || d.lostAnswer(w.book, now) {
 		number = w.book.TakeOver(s.Self)
 		w.number, w.changed = number, true
 	}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -151,10 +151,13 @@
 	rapid.Check(t, func(t *rapid.T) {
 		models := make([]Model, rapid.IntRange(1, 4).Draw(t, "models"))
 		for i := range models {
-			models[i] = Model{LoadedModel: named(fmt.Sprint("m", i)), Floor: rapid.IntRange(0, 2).Draw(t, "floor")}
+			m := engine.LoadedModel{Model: ident.Model(fmt.Sprint("m", i/2)), Version: fmt.Sprint(i % 2)}
+			models[i] = Model{LoadedModel: m, Floor: rapid.IntRange(0, 2).Draw(t, "floor")}
 		}
-		f := newFleet(rapid.IntRange(2, 8).Draw(t, "engines"), 2, models, 7*time.Second)
-		p := New(Policy{ModelsPerEngine: rapid.IntRange(1, 2).Draw(t, "places"), LoadsInFlight: 2, Hold: 10 * time.Second})
+		f := newFleet(rapid.IntRange(2, 8).Draw(t, "engines"), 2, models, 30*time.Second)
+		perMinute := rapid.SampledFrom([]int{4, 60}).Draw(t, "loads a minute")
+		places := rapid.IntRange(1, 2).Draw(t, "places")
+		p := New(Policy{ModelsPerEngine: places, LoadsPerMinute: perMinute, LoadsInFlight: 2, Hold: 10 * time.Second})
 		now := start
 		for range 30 {
 			now = now.Add(time.Duration(rapid.IntRange(1, 30).Draw(t, "seconds")) * time.Second)
@@ -169,7 +172,7 @@
 			}
 			check(t, p, f, now, models)
 		}
-		assertRate(t, f.begun, defaultLoadsPerMinute)
+		assertRate(t, f.begun, perMinute)
 	})
 }
 
@@ -201,16 +204,20 @@
 func TestSpreadAndVersions(t *testing.T) {
 	old, next := engine.LoadedModel{Model: "m", Version: "1"}, engine.LoadedModel{Model: "m", Version: "2"}
 	models := []Model{{LoadedModel: next, Floor: 2, Demand: 5}}
-	f := newFleet(6, 3, []Model{{LoadedModel: old}}, time.Second)
-	p := New(Policy{LoadsPerMinute: 600, LoadsInFlight: 6})
 	now := start
-	for range 200 {
-		now = now.Add(time.Second)
-		f.advance(now)
-		f.apply(now, p.Plan(now, models, f.upstreams))
-		require.GreaterOrEqual(t, f.copies(old)+f.copies(next), models[0].Floor)
+	var f *fleet
+	var p *Planner
+	for _, engines := range []int{3, 6} {
+		f = newFleet(engines, 3, []Model{{LoadedModel: old}}, time.Second)
+		p = New(Policy{LoadsPerMinute: 600, LoadsInFlight: 6})
+		for range 200 {
+			now = now.Add(time.Second)
+			f.advance(now)
+			f.apply(now, p.Plan(now, models, f.upstreams))
+			require.GreaterOrEqual(t, f.copies(old)+f.copies(next), models[0].Floor)
+		}
+		assert.Equal(t, engines, f.copies(next))
 	}
-	assert.Equal(t, 6, f.copies(next))
 
 	// Copies of a small model go to different failure domains.
 	f = newFleet(6, 2, []Model{{LoadedModel: old}}, time.Second)
