--- a/internal/issuer/issuer_test.go
+++ b/internal/issuer/issuer_test.go
@@ -262,6 +262,7 @@
 			r.rounds(40, i)
 			assert.Equal(t, 2, r.loaded("b"))
 			assert.Equal(t, 2, r.requireOrdered(), "each order is sent once")
+			assert.EqualValues(t, 1, r.book().FencingNumber)
 			assert.Empty(t, r.book().Outstanding("e0"))
 		})
 	}
@@ -455,6 +456,19 @@
 	assert.Equal(t, 1, r.requireOrdered())
 }
 
+// TestHeldWriteOfFormerOwner has a write take effect after the router ceased to
+// be the owner.
+func TestHeldWriteOfFormerOwner(t *testing.T) {
+	r := newRig(t, map[ident.Model]int{"a": 1, "b": 1}, false)
+	r.kv.SetFaults(keyvalue.Faults{HoldWrites: 1})
+	former := newIssuer(r.settings("one", releasing{r.kv.Client(), r.kv}))
+	r.rounds(1, former)
+	former.settings.Members = always("two")
+	r.rounds(10, former)
+	assert.Empty(t, r.book().Outstanding("e0"))
+	assert.Zero(t, r.requireOrdered())
+}
+
 // losing loses the first order on its way.
 type losing struct {
 	Engines
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -26,11 +26,13 @@
 	loadTime  time.Duration
 	ready     map[ident.Upstream]time.Time
 	loads     int
-	begun     []time.Time // of loads
+	begun     []time.Time   // of loads
+	kept      time.Duration // the least time between a load and an unload
+	since     map[ident.Upstream]time.Time
 }
 
 func newFleet(engines, domains int, models []Model, loadTime time.Duration) *fleet {
-	f := &fleet{loadTime: loadTime, ready: make(map[ident.Upstream]time.Time)}
+	f := &fleet{loadTime: loadTime, ready: make(map[ident.Upstream]time.Time), since: make(map[ident.Upstream]time.Time), kept: time.Hour}
 	for i := range engines {
 		f.upstreams = append(f.upstreams, Upstream{
 			ID:      ident.Upstream(fmt.Sprintf("e%02d", i)),
@@ -50,10 +52,14 @@
 		if m.Order.Kind == engine.OrderUnloadModel {
 			u.Assured = slices.DeleteFunc(u.Assured, func(l engine.LoadedModel) bool { return removes(model, l) })
 			f.ready[u.ID] = now
+			if since, ok := f.since[u.ID]; ok {
+				f.kept = min(f.kept, now.Sub(since))
+			}
 			continue
 		}
 		f.loads++
 		f.begun = append(f.begun, now)
+		f.since[u.ID] = now
 		u.Loading = append(u.Loading, model)
 		f.ready[u.ID] = now.Add(f.loadTime)
 	}
@@ -133,6 +139,8 @@
 		assert.Less(t, f.loads*2, g.loads)
 		assertRate(t, f.begun, defaultLoadsPerMinute)
 		assertRate(t, g.begun, defaultLoadsPerMinute)
+		_, nervous := follow(New(Policy{Factor: 1, HalfLife: 1}), seed)
+		assert.GreaterOrEqual(t, nervous.kept, defaultHold)
 	}
 }
 
@@ -156,7 +164,7 @@
 		}
 		f := newFleet(rapid.IntRange(2, 8).Draw(t, "engines"), 2, models, 30*time.Second)
 		perMinute := rapid.SampledFrom([]int{4, 60}).Draw(t, "loads a minute")
-		places := rapid.IntRange(1, 2).Draw(t, "places")
+		places := rapid.IntRange(1, 3).Draw(t, "places")
 		p := New(Policy{ModelsPerEngine: places, LoadsPerMinute: perMinute, LoadsInFlight: 2, Hold: 10 * time.Second})
 		now := start
 		for range 30 {
@@ -223,6 +231,7 @@
 	f = newFleet(6, 2, []Model{{LoadedModel: old}}, time.Second)
 	for i := range f.upstreams {
 		f.upstreams[i].Assured = nil
+		f.upstreams[i].Domain = ident.FailureDomain(fmt.Sprint("d", i/3))
 	}
 	p = New(Policy{LoadsPerMinute: 600, LoadsInFlight: 6})
 	models[0].Demand = 0
