--- a/internal/router/compose.go
+++ b/internal/router/compose.go
@@ -10,6 +10,7 @@
 	"example.org/lagoonfork/internal/directory"
 	"example.org/lagoonfork/internal/dispatch"
 	"example.org/lagoonfork/internal/engineclient"
+	"example.org/lagoonfork/internal/issuer"
 	"example.org/lagoonfork/internal/ledger/committer"
 	"example.org/lagoonfork/internal/membership"
 	"example.org/lagoonfork/internal/membership/follower"
@@ -23,6 +24,7 @@
 	"example.org/lagoonfork/internal/routing"
 	"example.org/lagoonfork/internal/survey"
 	"example.org/lagoonfork/internal/wallet"
+	"example.org/lagoonfork/pkg/configuration"
 	"example.org/lagoonfork/pkg/ident"
 )
 
@@ -160,9 +162,23 @@
 // background starts the work that no request asks for.
 func (r *Router) background() {
 	s := r.settings
+	r.issuer = issuer.New(issuer.Settings{
+		Services: func() []configuration.Service { return r.watcher.Current().Services },
+		Engines:  r.engines,
+		Store:    s.Store,
+		Members:  r.members,
+		Self:     r.incarnation,
+		MayAct:   r.mayOrder,
+		Leaving:  r.leavingUpstreams,
+		Interval: s.Timing.Orders,
+		Drain:    2 * (s.Timing.Orders + s.Timing.Survey),
+		Timeout:  s.Limits.StoreTimeout,
+		Clock:    s.Clock,
+		Log:      s.Log,
+	})
 	r.surveyor = survey.New(survey.Settings{
 		Directory: r.directory,
-		Engines:   r.engines,
+		Engines:   surveyed{r.engines, r.issuer},
 		VMs:       s.VMs,
 		Interval:  s.Timing.Survey,
 		Clock:     s.Clock,
--- a/internal/router/defaults.go
+++ b/internal/router/defaults.go
@@ -16,6 +16,7 @@
 	defaultReclaim    = 30 * time.Second
 	defaultMaintain   = time.Second
 	defaultQuarantine = 2 * time.Second
+	defaultOrders     = 5 * time.Second
 
 	defaultMaxBody        = 4 << 20
 	defaultMaxHeader      = 32 << 10
@@ -46,6 +47,7 @@
 	setDefault(&t.Reclaim, defaultReclaim)
 	setDefault(&t.Maintain, defaultMaintain)
 	setDefault(&t.Quarantine, defaultQuarantine)
+	setDefault(&t.Orders, defaultOrders)
 	l := &s.Limits
 	setDefault(&l.MaxBody, defaultMaxBody)
 	setDefault(&l.MaxHeader, defaultMaxHeader)
