Wait less for a ledger that has stopped answering

Cause: during an outage each keyed request waited 300 ms for its claim and 500 ms for its bill before other routers were asked. Change: once a bill has not been answered in time, claims and bills wait 20 ms, until the ledger answers again.

--- a/internal/dispatch/claim.go
+++ b/internal/dispatch/claim.go
@@ -21,6 +21,9 @@
 	// settleAllowance is how long the end of an answer waits for the ledger
 	// before other routers are asked to hold the bill.
 	settleAllowance = 500 * time.Millisecond
+	// downAllowance is how long claims and bills wait for the ledger while it
+	// has not answered for longer than settleAllowance.
+	downAllowance = 20 * time.Millisecond
 	// holdInterval is the time between two tries to find routers that hold a
 	// bill.
 	holdInterval = time.Second
@@ -88,6 +91,7 @@
 	defer timer.Stop()
 	select {
 	case r := <-x.claim.opened:
+		x.d.ledgerDown.Store(false)
 		x.claim.settled = true
 		return x.judgeOpen(r)
 	case <-timer.C:
@@ -101,7 +105,10 @@
 
 // allowance returns how long the request may wait for its claim.
 func (x *run) allowance() time.Duration {
-	if x.r.Idempotent {
+	switch {
+	case x.r.Idempotent && x.d.ledgerDown.Load():
+		return downAllowance
+	case x.r.Idempotent:
 		return openAllowance
 	}
 	return max(time.Duration(x.d.Policy().RefusalAllowanceMillis)*time.Millisecond, openAllowance)
@@ -164,13 +171,14 @@
 	bill.Ended = x.d.Clock()
 	out.end.Cost = out.cost
 	results := x.push(bill)
-	timer := time.NewTimer(settleAllowance)
+	timer := time.NewTimer(x.patience())
 	defer timer.Stop()
 	for {
 		select {
 		case r := <-results:
 			return x.billed(ctx, r, bill, out)
 		case <-timer.C:
+			x.d.ledgerDown.Store(true)
 			if x.held(ctx, bill) {
 				return out.end
 			}
@@ -181,11 +189,20 @@
 	}
 }
 
+// patience returns how long a bill waits for the ledger alone.
+func (x *run) patience() time.Duration {
+	if x.d.ledgerDown.Load() {
+		return downAllowance
+	}
+	return settleAllowance
+}
+
 // push sends the bill to the ledger. The reservation ends with the result.
 func (x *run) push(bill ledger.Claim) <-chan ledger.Result {
 	results := make(chan ledger.Result, 1)
 	op := ledger.Op{Budget: x.r.Budget.ID, Settle: &ledger.Settle{Claim: bill}}
 	x.d.Ledger.Push(op, func(r ledger.Result) {
+		x.d.ledgerDown.Store(false)
 		x.account(r, bill.Cost)
 		results <- r
 	})
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -53,6 +53,8 @@
 	Settings
 	book     *replay.Book[string, End]
 	sequence atomic.Uint64
+	// ledgerDown tells that the ledger has not answered the last bill in time.
+	ledgerDown atomic.Bool
 
 	mu     sync.Mutex
 	closed bool
--- a/internal/embedded/bench_test.go
+++ b/internal/embedded/bench_test.go
@@ -196,3 +196,35 @@
 		})
 	}
 }
+
+// BenchmarkDuringOutage sends short completions one after the other while the
+// key-value service is away.
+func BenchmarkDuringOutage(b *testing.B) {
+	s := Settings{
+		Answers: testAnswers(b),
+		Routers: 3,
+		Direct:  true,
+		Timing:  testTiming(),
+		Clock:   time.Now,
+		Log:     testLog(),
+	}
+	d, err := Start(context.Background(), s)
+	require.NoError(b, err)
+	defer func() { _ = d.Close(context.Background()) }()
+	for _, out := range []bool{false, true} {
+		b.Run(fmt.Sprintf("outage=%v", out), func(b *testing.B) {
+			for i := range 30 {
+				_, err := send(context.Background(), d.URL(i%3), ask{prompt: "warm", tokens: 8})
+				require.NoError(b, err)
+			}
+			outage(d, out)
+			defer outage(d, false)
+			for i := 0; b.Loop(); i++ {
+				a := ask{prompt: "short [answer of 8 tokens]", tokens: 8, key: fmt.Sprintf("o-%v-%d", out, i)}
+				r, err := send(context.Background(), d.URL(i%3), a)
+				require.NoError(b, err)
+				require.True(b, r.whole, "%+v", r)
+			}
+		})
+	}
+}
