Stop a crashing request between its attempts (innocents test still red)

Cause: the crash limit was looked at before the first attempt only, so that one call of a crashing request took down up to four upstreams. Change: it is looked at after each attempt; a whole-path test runs innocent requests beside a crashing one. Conclusion: the test is red: with few engines, innocents are accused twice.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -30,6 +30,14 @@
 // the answer that the caller has received.
 var errDiverged = errors.New("answers of two attempts differ")
 
+// errQuarantined reports that the request has crashed too many upstreams.
+var errQuarantined = errors.New("request quarantined")
+
+// quarantined reports whether the whole fleet refuses the request.
+func (x *run) quarantined() bool {
+	return x.d.Quarantine.Refused(x.d.Clock(), x.r.content(), x.d.Policy().CrashLimit)
+}
+
 // outcome is what a completed attempt gave.
 type outcome struct {
 	end  End
@@ -50,6 +58,9 @@
 		if errors.As(err, &existing) || ctx.Err() != nil {
 			return outcome{}, err
 		}
+		if x.quarantined() {
+			return outcome{}, errQuarantined
+		}
 		d := retry.Decide(x.d.Clock(), x.describe(n, err), budget, x.rng)
 		event.RetryDecided.Info(x.d.Log, "request", x.r.ID, "attempt", n, "retry", d.Retry, "reason", d.Reason, "error", err)
 		x.record("retry", fmt.Sprintf("attempt %d failed (%v): %s", n, err, d.Reason))
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -56,7 +56,7 @@
 		return x.refuse(refusal.New(refusal.NotFound, "service %s is not configured", x.r.Service))
 	}
 	x.service = service
-	if x.d.Quarantine.Refused(now, x.r.content(), x.d.Policy().CrashLimit) {
+	if x.quarantined() {
 		event.RequestQuarantined.Warn(x.d.Log, "request", x.r.ID, "customer", x.r.Customer)
 		return x.refuse(refusal.New(refusal.Quarantined, "this request has crashed several upstreams"))
 	}
@@ -139,6 +139,9 @@
 	switch {
 	case errors.Is(err, errLedgerUnreachable):
 		return refusal.New(refusal.LedgerUnreachable, "the claim could not be recorded").After(retryLater)
+	case errors.Is(err, errQuarantined):
+		event.RequestQuarantined.Warn(x.d.Log, "request", x.r.ID, "customer", x.r.Customer)
+		return refusal.Ran(refusal.Quarantined, "this request has crashed several upstreams")
 	case x.mayHaveRun && !x.r.Idempotent:
 		return refusal.Ran(refusal.OutcomeUnknown, "the upstream may have run the request, which is not idempotent")
 	case errors.Is(err, errDiverged):
--- a/internal/embedded/failure_test.go
+++ b/internal/embedded/failure_test.go
@@ -224,6 +224,49 @@
 	}, waitFor, 100*time.Millisecond)
 }
 
+// TestInnocentsBesideACrashingRequest runs answers on all engines while one
+// request crashes engines until it is refused. The others are run again where
+// their engine crashed, and none of them is refused.
+func TestInnocentsBesideACrashingRequest(t *testing.T) {
+	const innocents = 24
+	d := start(t, 2, func(s *Settings) { s.Engine.TokenPace = 5 * time.Millisecond })
+	for _, e := range d.Engines {
+		e.SetFaults(engine.Faults{CrashOn: "poison"})
+	}
+	var answered []audit.Answered
+	var mu sync.Mutex
+	var g errgroup.Group
+	for i := range innocents {
+		g.Go(func() error {
+			a := ask{prompt: fmt.Sprintf("innocent %d [answer of 100 tokens]", i), tokens: 120, stream: i%2 == 0}
+			r, err := send(context.Background(), d.URL(i%2), a)
+			if err != nil {
+				return err
+			}
+			if assert.True(t, r.whole, "innocent %d: %+v", i, r) {
+				assert.Equal(t, engine.ExpectedAnswer(a.prompt, a.tokens), r.text)
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			answered = append(answered, answeredBy(r, "large-main"))
+			return nil
+		})
+	}
+	quarantined := false
+	for i := 0; i < 10 && !quarantined; i++ {
+		time.Sleep(50 * time.Millisecond)
+		r, err := send(context.Background(), d.URL(i%2), ask{prompt: "poison", tokens: 5})
+		require.NoError(t, err)
+		quarantined = r.refusal.Code == "requestQuarantined"
+		for _, e := range d.Engines {
+			_ = e.Restart() // only the crashed ones need it
+		}
+	}
+	assert.True(t, quarantined)
+	require.NoError(t, g.Wait())
+	requireSound(t, d, answered)
+}
+
 // callPlain posts a call that is not idempotent.
 func callPlain(t *testing.T, base, key string) (int, string) {
 	request, err := http.NewRequest(http.MethodPost, base+"/services/register/permits", bytes.NewReader([]byte(`{"n":1}`)))
