Bound the size of ledger segments

Cause: after an outage thousands of bills are written at once; three quarters of them made a segment too large to write, and the page was stuck.

Change: a segment holds at most 512 claims, and a page is sealed until it is small enough. Claims that ended together are sealed in order of name. The test of lost segments bills only requests that are not on the page: before, it took a repeated bill by the same router for a new one.

--- a/internal/ledger/committer/page.go
+++ b/internal/ledger/committer/page.go
@@ -236,14 +236,20 @@
 	return data, id, err
 }
 
-// encodeSealed seals ended claims if that is worth a segment, and returns the
-// page's encoding then.
+// encodeSealed seals ended claims as long as the page is too large and that is
+// worth a segment, and returns the page's encoding then.
 func (c *Committer) encodeSealed(p *page, data []byte, id ledger.WriteID) ([]byte, ledger.WriteID, error) {
-	sealed, err := c.seal(p)
-	if err != nil || !sealed {
-		return data, id, err
+	for len(data) > c.settings.SealSize {
+		sealed, err := c.seal(p)
+		if err != nil || !sealed {
+			return data, id, err
+		}
+		data, id, err = ledger.EncodeWrite(p.current, int64(p.revision))
+		if err != nil {
+			return nil, "", err
+		}
 	}
-	return ledger.EncodeWrite(p.current, int64(p.revision))
+	return data, id, nil
 }
 
 // pruneFraction is the part of the retention after which a page is pruned.
--- a/internal/ledger/committer/segment_test.go
+++ b/internal/ledger/committer/segment_test.go
@@ -15,10 +15,12 @@
 	"example.org/lagoonfork/pkg/store"
 )
 
-// settleMany bills n requests of holder a, and counts those that failed.
-func settleMany(t *testing.T, c *Committer, n int) {
+// settleMany bills n requests of holder a, all of which wait for the end of an
+// outage and are then written at once.
+func settleMany(t *testing.T, service *keyvalue.Service, c *Committer, n int) {
 	_, err := c.Apply(context.Background(), draw("a", 1, 900))
 	require.NoError(t, err)
+	service.SetFaults(keyvalue.Faults{Outage: true})
 	var wg sync.WaitGroup
 	for m := range n {
 		wg.Add(1)
@@ -27,16 +29,17 @@
 			wg.Done()
 		})
 	}
+	service.SetFaults(keyvalue.Faults{})
 	wg.Wait()
 }
 
 func manyName(n int) ident.Request { return ident.Request(fmt.Sprintf("request-%06d", n)) }
 
 func TestSealedClaimsAreFoundAndNotBilledAgain(t *testing.T) {
-	const n = 5000 // more than a page has room for
+	const n = 8000 // more than a page, or one segment, has room for
 	service := keyvalue.New(keyvalue.Settings{})
 	a := open(service.Client(), 1)
-	settleMany(t, a, n)
+	settleMany(t, service, a, n)
 	entry, err := service.Client().Get(context.Background(), ledger.Key(0))
 	require.NoError(t, err)
 	assert.Less(t, len(entry.Value), store.MaxValueSize/4)
@@ -64,7 +67,7 @@
 func TestLostSegmentRefusesRatherThanBillsAgain(t *testing.T) {
 	service := keyvalue.New(keyvalue.Settings{})
 	a := open(service.Client(), 1)
-	settleMany(t, a, 1000)
+	settleMany(t, service, a, 1000)
 	p, err := a.Page(context.Background(), 0)
 	require.NoError(t, err)
 	require.NotEmpty(t, p.Sealed)
@@ -72,9 +75,18 @@
 		require.NoError(t, service.Client().Delete(context.Background(), ledger.SegmentKey(0, ref.ID), store.Always))
 	}
 	b := open(service.Client(), 1)
-	r, err := b.Apply(context.Background(), settling(claim(manyName(0), "a", 5), true))
-	require.NoError(t, err)
-	assert.Equal(t, ledger.Expired, r.Outcome)
+	lost := 0
+	for m := 0; m < 1000 && lost < 10; m++ {
+		if _, onPage := p.Find("b", manyName(m)); onPage {
+			continue
+		}
+		r, err := b.Apply(context.Background(), settling(claim(manyName(m), "a", 5), true))
+		require.NoError(t, err)
+		assert.Equal(t, ledger.Expired, r.Outcome)
+		lost++
+	}
+	assert.Positive(t, lost)
+	assert.Zero(t, budget(t, service.Client()).Settled)
 	closeAll(t, a, b)
 }
 
--- a/internal/ledger/segment.go
+++ b/internal/ledger/segment.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"cmp"
 	"encoding/json"
 	"slices"
 	"strconv"
@@ -31,17 +32,21 @@
 // claimSize is the usual encoded size of a claim in bytes.
 const claimSize = 340
 
+// maxSealed is the greatest number of claims in a segment. As many of the
+// longest identifiers fit in a value of the key-value service.
+const maxSealed = 512
+
 // SegmentKey returns the key of a segment of page n in the key-value service.
 func SegmentKey(n int, id SegmentID) string {
 	return Key(n) + "/sealed/" + string(id)
 }
 
-// Seal moves the oldest three quarters of the ended claims to a new segment and
-// lists it on the page, if they are worth least bytes. The segment must be
-// durable before the page is written. Sealing by itself is not a change.
+// Seal moves the oldest of the ended claims, at most three quarters of them, to
+// a new segment if they are worth least bytes. The segment must be durable
+// before the page that lists it is written. Sealing by itself is not a change.
 func (p *Page) Seal(least int) (s *Segment, ref SegmentRef, ok bool) {
 	claims := p.ended()
-	claims = claims[:len(claims)-len(claims)/4]
+	claims = claims[:min(len(claims)-len(claims)/4, maxSealed)]
 	if len(claims) == 0 || len(claims)*claimSize < least {
 		return nil, SegmentRef{}, false
 	}
@@ -147,6 +152,11 @@
 			}
 		}
 	}
-	slices.SortFunc(claims, func(a, b endedClaim) int { return a.Ended.Compare(b.Ended) })
+	slices.SortFunc(claims, endedClaim.compare)
 	return claims
 }
+
+// compare orders claims by their end, and those that ended together by name.
+func (c endedClaim) compare(d endedClaim) int {
+	return cmp.Or(c.Ended.Compare(d.Ended), cmp.Compare(c.budget, d.budget), cmp.Compare(c.Request, d.Request))
+}
