--- /dev/null
+++ b/internal/configwatch/capacity_test.go
@@ -0,0 +1,44 @@
+package configwatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// BenchmarkColdStart starts a whole fleet at once and reports the reads of the
+// key-value service until the configuration of 33 parts is in force everywhere.
+func BenchmarkColdStart(b *testing.B) {
+	for _, vms := range []int{9, 90, 390} {
+		b.Run(fmt.Sprint(vms), func(b *testing.B) {
+			for b.Loop() {
+				f := newFleet(b, vms)
+				require.Eventually(b, func() bool { return f.behind(1) == 0 }, time.Minute, 20*time.Millisecond)
+				b.ReportMetric(float64(f.service.Counts().Reads), "reads")
+				b.ReportMetric(float64(f.network.parts.Load()), "parts-from-peers")
+				f.close()
+			}
+		})
+	}
+}
+
+// BenchmarkParts reports the number and the bytes of the parts that a VM which
+// starts reads.
+func BenchmarkParts(b *testing.B) {
+	for _, budgets := range []int{1_600, 16_000, 160_000} {
+		b.Run(fmt.Sprint(budgets), func(b *testing.B) {
+			for b.Loop() {
+				heads, parts := twoRevisions(b, budgets)
+				size := 0
+				digests := append(heads[0].Buckets, heads[0].Base)
+				for _, digest := range digests {
+					size += len(parts[digest])
+				}
+				b.ReportMetric(float64(len(digests)), "parts")
+				b.ReportMetric(float64(size), "bytes")
+			}
+		})
+	}
+}
