--- /dev/null
+++ b/internal/quarantine/capacity_test.go
@@ -0,0 +1,32 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"example.org/lagoonfork/pkg/ident"
+)
+
+// BenchmarkReading decodes a list of n accused requests, as each router does at
+// each reading, and reports its bytes.
+func BenchmarkReading(b *testing.B) {
+	for _, n := range []int{20, 200, maxAccused} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			var list List
+			now := time.Date(2026, 3, 1, 8, 0, 0, 0, time.UTC)
+			for i := range n {
+				list.Accuse(now, DigestOf("customer", "llm", fmt.Append(nil, i)), ident.Upstream("llm-0001"))
+			}
+			data, err := list.Encode()
+			require.NoError(b, err)
+			for b.Loop() {
+				_, err := Decode(data)
+				require.NoError(b, err)
+			}
+			b.ReportMetric(float64(len(data)), "bytes")
+		})
+	}
+}
