--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -54,15 +54,12 @@
 	Bound  tokens.Count // upper bound of its cost
 }
 
-// Read returns all pages of a ledger of n pages.
+// Read returns all pages of a ledger of n pages, with the claims that were
+// moved off them.
 func Read(ctx context.Context, s store.Store, n int) (pages []*ledger.Page, err error) {
 	defer func() { err = merry.Prepend(err, "reading the ledger") }()
 	for i := range n {
-		entry, err := s.Get(ctx, ledger.Key(i))
-		if err != nil {
-			return nil, err
-		}
-		page, err := ledger.Decode(entry.Value)
+		page, err := readPage(ctx, s, i)
 		if err != nil {
 			return nil, err
 		}
@@ -71,6 +68,41 @@
 	return pages, nil
 }
 
+func readPage(ctx context.Context, s store.Store, n int) (*ledger.Page, error) {
+	entry, err := s.Get(ctx, ledger.Key(n))
+	if err != nil {
+		return nil, err
+	}
+	page, err := ledger.Decode(entry.Value)
+	if err != nil {
+		return nil, err
+	}
+	for _, ref := range page.Sealed {
+		if err := recall(ctx, s, n, page, ref); err != nil {
+			return nil, err
+		}
+	}
+	return page, nil
+}
+
+// recall puts the claims of a segment back on its page.
+func recall(ctx context.Context, s store.Store, n int, page *ledger.Page, ref ledger.SegmentRef) error {
+	entry, err := s.Get(ctx, ledger.SegmentKey(n, ref.ID))
+	if err != nil || entry.Revision == 0 {
+		return err
+	}
+	segment, err := ledger.DecodeSegment(entry.Value)
+	if err != nil {
+		return err
+	}
+	for budget, claims := range segment.Claims {
+		for _, c := range claims {
+			page.Recall(budget, *c)
+		}
+	}
+	return nil
+}
+
 // Check audits the pages. Claims that were pruned count as missing, so that an
 // audit has to take place within the retention of claims.
 func Check(pages []*ledger.Page, answered []Answered, refused []Refused) Report {
--- a/internal/ledger/check.go
+++ b/internal/ledger/check.go
@@ -39,13 +39,19 @@
 
 // Prune drops ended claims: retention before now, and shortRetention for
 // requests without an idempotency key whose bill no other router held. Open
-// claims stay, and so do all after the page was not written for a while. It
-// returns the number of claims dropped. A late record of a bill that is old
-// enough to have been dropped is answered with Expired.
+// claims stay, and so do all after the page was not written for a while.
+// Segments whose claims all ended retention before now are no longer listed.
+// It returns the number of claims dropped from the page itself. A late record
+// of a bill that is old enough to have been dropped is answered with Expired.
 func (p *Page) Prune(now time.Time, retention time.Duration) (dropped int) {
 	if now.Before(p.Hold) {
 		return 0
 	}
+	for _, ref := range p.Sealed {
+		if !ref.Ended.After(now.UTC().Add(-retention)) {
+			p.Unlist(ref)
+		}
+	}
 	for _, b := range p.Budgets {
 		n := b.prune(now.UTC(), retention)
 		dropped += n
