--- a/internal/embedded/capacity_test.go
+++ b/internal/embedded/capacity_test.go
@@ -4,12 +4,15 @@
 	"context"
 	"fmt"
 	"os"
+	"path/filepath"
+	"regexp"
 	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"golang.org/x/sync/errgroup"
 
@@ -18,6 +21,33 @@
 	"example.org/lagoonfork/internal/router"
 )
 
+// TestCapacityPageNamesExistingBenchmarks looks for each test and benchmark
+// that a command on the page names.
+func TestCapacityPageNamesExistingBenchmarks(t *testing.T) {
+	page, err := os.ReadFile("../../docs/CAPACITY.md")
+	require.NoError(t, err)
+	commands := regexp.MustCompile(`go test \./(\S+)(?: -cpu \d+)? -run (\S+)(?: -bench '([^']+)')?`).FindAllStringSubmatch(string(page), -1)
+	require.Len(t, commands, strings.Count(string(page), "go test"))
+	for _, c := range commands {
+		files, err := filepath.Glob("../../" + c[1] + "/*_test.go")
+		require.NoError(t, err)
+		var code strings.Builder
+		for _, file := range files {
+			data, err := os.ReadFile(file)
+			require.NoError(t, err)
+			code.Write(data)
+		}
+		names, kind := strings.Split(c[3], "|"), "Benchmark"
+		if c[3] == "" {
+			names, kind = []string{c[2]}, "Test"
+		}
+		for _, name := range names {
+			name = strings.TrimSuffix(strings.TrimPrefix(name, kind), "$")
+			assert.Contains(t, code.String(), "func "+kind+name+"(", "in %s", c[1])
+		}
+	}
+}
+
 // use is what the process, and the key-value stand-in, have used so far.
 type use struct {
 	at        time.Time
@@ -140,10 +170,10 @@
 	}
 }
 
-// BenchmarkStoreCalls reports the calls of the key-value service, which answers
+// BenchmarkPacedStoreCalls reports the calls of the key-value service, which answers
 // in two milliseconds, for each request of one budget that is sent through 1, 3
 // and 9 routers, and how many requests are refused, first and afterwards.
-func BenchmarkStoreCalls(b *testing.B) {
+func BenchmarkPacedStoreCalls(b *testing.B) {
 	const requests = 450
 	for _, routers := range []int{1, 3, 9} {
 		b.Run(fmt.Sprintf("routers=%d", routers), func(b *testing.B) {
