Measure the writes of budgets that are new to a router

Cause: the page on capacity took two ops for each request; only requests with an idempotency key or that are not idempotent open a claim first.

--- a/internal/embedded/capacity_test.go
+++ b/internal/embedded/capacity_test.go
@@ -19,6 +19,8 @@
 	"example.org/lagoonfork/internal/fake/engine"
 	"example.org/lagoonfork/internal/fake/keyvalue"
 	"example.org/lagoonfork/internal/router"
+	"example.org/lagoonfork/pkg/answers"
+	"example.org/lagoonfork/pkg/ident"
 )
 
 // TestCapacityPageNamesExistingBenchmarks looks for each test and benchmark
@@ -70,8 +72,9 @@
 	return u
 }
 
-// startFleet runs a deployment with the intervals of production.
-func startFleet(b *testing.B, routers int, direct bool, timing router.Timing) *Deployment {
+// startFleet runs a deployment with the intervals of production, after the
+// changes to its answers.
+func startFleet(b *testing.B, routers int, direct bool, timing router.Timing, changes ...func(*answers.Answers)) *Deployment {
 	ctx, cancel := context.WithTimeout(context.Background(), waitFor)
 	defer cancel()
 	s := Settings{Answers: testAnswers(b), Routers: routers, Direct: direct, Timing: timing, Clock: time.Now, Log: testLog(),
@@ -81,6 +84,9 @@
 			s.Answers.Services[i].Upstreams[j].Slots = 256
 		}
 	}
+	for _, change := range changes {
+		change(&s.Answers)
+	}
 	d, err := Start(ctx, s)
 	require.NoError(b, err)
 	b.Cleanup(func() {
@@ -106,6 +112,7 @@
 				d := startFleet(b, routers, false, timing)
 				time.Sleep(time.Second)
 				for b.Loop() {
+					b.ReportMetric(float64(memoryInUse())/float64(routers), "heapB/router")
 					before := useOf(b, d)
 					time.Sleep(span)
 					after := useOf(b, d)
@@ -125,12 +132,21 @@
 // sendMany sends n streamed requests, some at a time, to bases in turn, and
 // returns the number that were refused.
 func sendMany(b *testing.B, n, length, atOnce int, bases ...string) (refused int64) {
+	return sendWithKeys(b, n, length, atOnce, []string{testKey}, false, bases...)
+}
+
+// sendWithKeys is sendMany for callers with several keys, in turn, and with an
+// idempotency key for each request if so told.
+func sendWithKeys(b *testing.B, n, length, atOnce int, keys []string, keyed bool, bases ...string) (refused int64) {
 	var count atomic.Int64
 	var g errgroup.Group
 	g.SetLimit(atOnce)
 	for i := range n {
 		g.Go(func() error {
-			a := ask{prompt: fmt.Sprintf("%d [answer of %d tokens]", i, length), tokens: length, stream: true}
+			a := ask{prompt: fmt.Sprintf("%d [answer of %d tokens]", i, length), tokens: length, stream: true, bearer: keys[i/len(bases)%len(keys)]}
+			if keyed {
+				a.key = fmt.Sprint(i)
+			}
 			r, err := send(context.Background(), bases[i%len(bases)], a)
 			switch {
 			case err != nil:
@@ -197,3 +213,41 @@
 		})
 	}
 }
+
+// BenchmarkManyBudgets reports the writes for each of 150 requests, one at a
+// time, that are spread over budgets, all new to the three routers, without and
+// with idempotency keys.
+func BenchmarkManyBudgets(b *testing.B) {
+	for _, keyed := range []bool{false, true} {
+		for _, budgets := range []int{1, 10, 50} {
+			b.Run(fmt.Sprintf("keyed=%t/budgets=%d", keyed, budgets), func(b *testing.B) {
+				benchmarkManyBudgets(b, budgets, keyed)
+			})
+		}
+	}
+}
+
+func benchmarkManyBudgets(b *testing.B, budgets int, keyed bool) {
+	const requests, routers = 150, 3
+	var keys []string
+	c := answers.Customer{ID: "many", Name: "Many", Weight: 1}
+	for i := range budgets {
+		id := fmt.Sprintf("many-%04d", i)
+		keys = append(keys, "key-of-a-benchmark-"+id)
+		c.Budgets = append(c.Budgets, answers.Budget{ID: ident.Budget(id), Prepaid: 100_000_000})
+		c.Applications = append(c.Applications, answers.Application{ID: ident.Application(id),
+			KeyHash: answers.HashKey(answers.Secret(keys[i])), Budget: ident.Budget(id), MaxOutput: 4096})
+	}
+	d := startFleet(b, routers, true, router.Timing{Survey: time.Hour}, func(a *answers.Answers) {
+		a.Customers = append(a.Customers, c)
+		a.Rules[0].Customers = append(a.Rules[0].Customers, c.ID)
+	})
+	d.KeyValue.SetFaults(keyvalue.Faults{Delay: 2 * time.Millisecond})
+	for b.Loop() {
+		before := useOf(b, d)
+		require.Zero(b, sendWithKeys(b, requests, 16, 1, keys, keyed, d.URL(0), d.URL(1), d.URL(2)))
+		after := useOf(b, d)
+		b.ReportMetric(float64(after.calls.Writes-before.calls.Writes)/requests, "writes/request")
+		b.ReportMetric(float64(budgets*routers)/requests, "new/request")
+	}
+}
