--- /dev/null
+++ b/cmd/lagoonfork/commands_test.go
@@ -0,0 +1,59 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"example.org/lagoonfork/internal/manual"
+	"example.org/lagoonfork/internal/operator"
+)
+
+// errParsed ends a command once its line has been accepted, before it runs.
+var errParsed = errors.New("parsed")
+
+// parse reads a command line as the program does, and runs nothing.
+func parse(args []string) error {
+	app := kingpin.New("lagoonfork", "").Terminate(nil)
+	app.UsageWriter(io.Discard)
+	registerRouter(context.Background(), app)
+	registerEmbedded(context.Background(), app)
+	operator.Register(app, operator.Environment{Context: context.Background()})
+	app.Validate(func(*kingpin.Application) error { return errParsed })
+	_, err := app.Parse(args)
+	return err
+}
+
+// TestDocumentedCommandsParse checks the command lines of the documentation.
+func TestDocumentedCommandsParse(t *testing.T) {
+	pages, err := manual.Read("../..")
+	require.NoError(t, err)
+	checked := 0
+	for _, p := range pages {
+		for _, prefix := range []string{"go run ./cmd/lagoonfork", "lagoonfork"} {
+			for _, command := range p.Commands(prefix) {
+				if strings.Contains(command, "|") {
+					continue // a choice of commands, not a line to run
+				}
+				args := strings.Fields(strings.TrimPrefix(command, prefix))
+				assert.ErrorIs(t, parse(args), errParsed, "%s: %s", p.Path, command)
+				checked++
+			}
+		}
+	}
+	assert.NotZero(t, checked)
+}
+
+func TestParseRefuses(t *testing.T) {
+	for _, line := range []string{"router", "embedded --twice", "budget topUp b 5", "nothing"} {
+		err := parse(strings.Fields(line))
+		require.Error(t, err, line)
+		assert.NotErrorIs(t, err, errParsed, line)
+	}
+}
