--- a/internal/ledger/committer/history_test.go
+++ b/internal/ledger/committer/history_test.go
@@ -8,6 +8,7 @@
 	"math"
 	"math/rand/v2"
 	"runtime"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -89,6 +90,11 @@
 	wrap func(store.Store) store.Store
 	// next returns the op number n of a holder.
 	next func(s *schedule, rng *rand.Rand, holder int, sequence *uint64) ledger.Op
+	// forward makes all committers but the first pass their ops to it.
+	forward bool
+	ticks   atomic.Int64
+	// segments is the number of segments that the page ends with.
+	segments int
 }
 
 func (s *schedule) rand(stream uint64) *rand.Rand {
@@ -107,7 +113,15 @@
 			kv = s.wrap(kv)
 		}
 		clients = append(clients, client)
-		cs = append(cs, open(kv, 1))
+		c := open(kv, 1)
+		if s.seed%2 == 1 {
+			c.settings.SealSize = 800
+		}
+		if s.forward && len(cs) > 0 {
+			c.settings.Forward = &flakyOwner{owner: cs[0], rng: s.rand(uint64(10 + len(cs)))}
+			c.settings.Clock = s.hurry
+		}
+		cs = append(cs, c)
 	}
 	stop := make(chan struct{})
 	var faults, workers sync.WaitGroup
@@ -124,6 +138,7 @@
 	require.NoError(t, err, "seed %d", s.seed)
 	p, err := ledger.Decode(entry.Value)
 	require.NoError(t, err, "seed %d", s.seed)
+	s.unseal(t, p)
 	for n := range requests {
 		op := releasing(requestName(n), "") // only its request matters
 		s.history.record(0, op, s.history.clock.Add(1), outcome{page: p})
@@ -131,6 +146,46 @@
 	return p
 }
 
+// hurry is a clock on which the pause after a failed forward is over at once.
+func (s *schedule) hurry() time.Time {
+	return start.Add(time.Duration(s.ticks.Add(1)) * forwardPause)
+}
+
+// flakyOwner passes ops to the owner of a page and at random loses the ops or
+// the results.
+type flakyOwner struct {
+	owner *Committer
+	rng   *rand.Rand // used by one forwarding goroutine at a time
+}
+
+func (f *flakyOwner) Apply(ctx context.Context, page int, ops []ledger.Op) ([]ledger.Result, error) {
+	fate := f.rng.IntN(4)
+	if fate == 0 {
+		return nil, store.ErrUnavailable
+	}
+	rs, err := f.owner.ApplyLocal(ctx, page, ops)
+	if fate == 1 {
+		return nil, store.ErrUnknown
+	}
+	return rs, err
+}
+
+// unseal puts all sealed claims back on the page.
+func (s *schedule) unseal(t testing.TB, p *ledger.Page) {
+	for _, ref := range slices.Backward(p.Sealed) {
+		entry, err := s.service.Client().Get(context.Background(), ledger.SegmentKey(0, ref.ID))
+		require.NoError(t, err, "seed %d", s.seed)
+		segment, err := ledger.DecodeSegment(entry.Value)
+		require.NoError(t, err, "seed %d", s.seed)
+		for budget, claims := range segment.Claims {
+			for _, c := range claims {
+				p.Recall(budget, *c)
+			}
+		}
+	}
+	s.segments = len(p.Sealed)
+}
+
 // disturb changes the faults of the clients until stop is closed, and ends
 // with a healthy service.
 func (s *schedule) disturb(clients []*keyvalue.Client, stop <-chan struct{}) {
@@ -452,7 +507,7 @@
 			before, out := state.(register), output.(outcome)
 			op := input.(ledger.Op)
 			if out.page != nil {
-				return onlyIf(before == registerOf(out.page, requestOf(op)), before)
+				return onlyIf(before == registerOf(out.page, op.Request()), before)
 			}
 			after, want := before.step(op)
 			switch {
@@ -521,24 +576,12 @@
 		if op.Draw != nil {
 			continue
 		}
-		n := index(string(requestOf(op)))
+		n := index(string(op.Request()))
 		parts[n] = append(parts[n], o)
 	}
 	return parts
 }
 
-func requestOf(op ledger.Op) ident.Request {
-	switch {
-	case op.Open != nil:
-		return op.Open.Claim.Request
-	case op.Settle != nil:
-		return op.Settle.Claim.Request
-	case op.Release != nil:
-		return op.Release.Request
-	}
-	return op.Take.Request
-}
-
 // schedules is the number of seeded fault schedules of each history test.
 func schedules() uint64 {
 	if testing.Short() {
@@ -549,12 +592,14 @@
 
 func TestHistories(t *testing.T) {
 	tests := []struct {
-		name  string
-		next  func(*schedule, *rand.Rand, int, *uint64) ledger.Op
-		model porcupine.Model
+		name    string
+		next    func(*schedule, *rand.Rand, int, *uint64) ledger.Op
+		model   porcupine.Model
+		forward bool
 	}{
-		{"budgets", budgetOp, budgetModel()},
-		{"claims", claimOp, claimModel()},
+		{"budgets", budgetOp, budgetModel(), false},
+		{"budgets through an owner", budgetOp, budgetModel(), true},
+		{"claims", claimOp, claimModel(), false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -563,12 +608,13 @@
 				first = rand.Uint64() >> 1
 			}
 			t.Logf("seeds from %d", first)
-			overspent, unknown, refused := 0, 0, 0
+			overspent, unknown, refused, segments := 0, 0, 0, 0
 			for seed := first; seed < first+schedules(); seed++ {
-				s := &schedule{seed: seed, next: tt.next}
+				s := &schedule{seed: seed, next: tt.next, forward: tt.forward}
 				p := s.run(t)
 				require.Equal(t, porcupine.Ok, s.check(tt.model), "seed %d", seed)
 				s.audit(t, p)
+				segments += s.segments
 				if b := p.Budgets["b"]; b.Settled > b.Prepaid() {
 					overspent++
 				}
@@ -582,7 +628,7 @@
 				}
 			}
 			assert.Zero(t, overspent)
-			t.Logf("%d schedules, %d ops with an unknown outcome, %d withdrawn", schedules(), unknown, refused)
+			t.Logf("%d schedules, %d ops with an unknown outcome, %d withdrawn, %d segments", schedules(), unknown, refused, segments)
 		})
 	}
 }
@@ -620,6 +666,9 @@
 type unnumbered struct{ store.Store }
 
 func (u unnumbered) Put(ctx context.Context, key string, value []byte, cond store.Condition, l store.Lease) (store.Revision, error) {
+	if key != ledger.Key(0) {
+		return u.Store.Put(ctx, key, value, cond, l) // a segment
+	}
 	p, err := ledger.Decode(value)
 	if err != nil {
 		return 0, err
--- a/internal/ledger/page.go
+++ b/internal/ledger/page.go
@@ -39,8 +39,11 @@
 	// no claim is dropped.
 	Written time.Time `json:"written,omitzero"`
 	Hold    time.Time `json:"hold,omitzero"`
+	// Sealed lists the segments with ended claims of the page, the latest last.
+	Sealed []SegmentRef `json:"sealed,omitempty"`
 
 	changes uint64
+	marked  int64 // the base of the last of Writes, plus one, if not yet written
 }
 
 // WriteID identifies one write of a page: its content and the revision that it
