--- a/internal/manual/manual_test.go
+++ b/internal/manual/manual_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strings"
 	"testing"
 
@@ -90,8 +91,11 @@
 
 var optionPattern = regexp.MustCompile(`-(run|bench|fuzz) +('[^']*'|"[^"]*"|\S+)`)
 
-// noTest is what commands give -run so that only benchmarks run.
-const noTest = "xxx"
+// matchesNothing reports whether a pattern is one of those that commands give
+// -run so that only benchmarks run.
+func matchesNothing(pattern string) bool {
+	return slices.Contains([]string{"xxx", "XXX", "-", "^$"}, pattern)
+}
 
 // TestTestCommandsFindTheirTests checks the commands with go test: each part of
 // a pattern matches a function of one of the packages.
@@ -102,7 +106,7 @@
 		for _, command := range p.Commands("go test") {
 			for _, m := range optionPattern.FindAllStringSubmatch(command, -1) {
 				pattern := strings.Trim(m[2], `'"`)
-				if pattern == noTest {
+				if m[1] == "run" && matchesNothing(pattern) {
 					continue
 				}
 				commands++
