--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -1,11 +1,12 @@
 // Package quarantine decides which requests are refused because they crash the
 // upstreams that run them.
 //
-// When an upstream crashes, each request in flight on it is accused. A request
-// is refused once it stands accused by crashes of as many different upstreams
-// as the crash limit says. An accused request that completes is cleared, so
-// that one which merely ran beside the culprit goes free; and an upstream that
-// crashes by itself accuses each request only once.
+// When an upstream crashes, each request in flight on it is accused. A crash is
+// evidence of one, divided by the requests that stand accused of it; a request
+// is refused once the evidence against it reaches about the crash limit. An
+// accused request that completes is cleared, so that one which merely ran
+// beside the culprit goes free; and an upstream that crashes by itself accuses
+// each request only once.
 //
 // The List is kept in the key-value service for the whole fleet, under one key,
 // by compare-and-swap. This package holds the pure part.
@@ -38,6 +39,10 @@
 	lifetime = 24 * time.Hour
 	// maxAccused bounds the list. The oldest accusations go first.
 	maxAccused = 2000
+	// sameCrash is how far apart routers may see the same crash.
+	sameCrash = 5 * time.Second
+	// evidenceMargin is how far below the crash limit the evidence may be.
+	evidenceMargin = 0.5
 )
 
 // Digest identifies the content of a request, whatever its identifier.
@@ -62,23 +67,43 @@
 
 // Accusation is what speaks against one request.
 type Accusation struct {
-	// Upstreams lists the different upstreams that crashed while they ran it.
-	Upstreams []ident.Upstream `json:"upstreams"`
-	Last      time.Time        `json:"last"`
+	// Crashes lists the crashes during which it ran, one for each upstream.
+	Crashes []Crash `json:"crashes"`
+}
+
+// Crash is a crash of an upstream, as one router saw it.
+type Crash struct {
+	Upstream ident.Upstream `json:"upstream"`
+	At       time.Time      `json:"at"`
+}
+
+// same reports whether two routers speak of the same crash.
+func (c Crash) same(other Crash) bool {
+	return c.Upstream == other.Upstream && c.At.Sub(other.At).Abs() < sameCrash
+}
+
+// last returns the time of the last crash.
+func (a Accusation) last() (last time.Time) {
+	for _, c := range a.Crashes {
+		if c.At.After(last) {
+			last = c.At
+		}
+	}
+	return last
 }
 
 // Accuse records that upstream crashed while it ran the request. It reports
 // whether the list changed.
 func (l *List) Accuse(now time.Time, d Digest, upstream ident.Upstream) (changed bool) {
 	a := l.Accused[d]
-	if slices.Contains(a.Upstreams, upstream) {
+	ofUpstream := func(c Crash) bool { return c.Upstream == upstream }
+	if slices.ContainsFunc(a.Crashes, ofUpstream) {
 		return false
 	}
 	if l.Accused == nil {
 		l.Accused = make(map[Digest]Accusation)
 	}
-	a.Upstreams = append(slices.Clone(a.Upstreams), upstream)
-	a.Last = now
+	a.Crashes = append(slices.Clone(a.Crashes), Crash{Upstream: upstream, At: now.UTC()})
 	l.Accused[d] = a
 	l.expire(now)
 	return true
@@ -96,7 +121,7 @@
 
 func (l *List) expire(now time.Time) {
 	for d, a := range l.Accused {
-		if now.Sub(a.Last) > lifetime {
+		if now.Sub(a.last()) > lifetime {
 			delete(l.Accused, d)
 		}
 	}
@@ -108,8 +133,8 @@
 func (l *List) oldest() (oldest Digest) {
 	var last time.Time
 	for d, a := range l.Accused {
-		if oldest == "" || a.Last.Before(last) {
-			oldest, last = d, a.Last
+		if oldest == "" || a.last().Before(last) {
+			oldest, last = d, a.last()
 		}
 	}
 	return oldest
@@ -118,20 +143,33 @@
 // Suspect reports whether the request stands accused at all. A suspect runs
 // apart from other suspects.
 func (l *List) Suspect(now time.Time, d Digest) bool {
-	return l.crashes(now, d) > 0
+	a, ok := l.Accused[d]
+	return ok && now.Sub(a.last()) <= lifetime
 }
 
-// Refused reports whether the request is refused under the crash limit.
+// Refused reports whether the evidence against the request reaches the crash
+// limit. A crash during which no other accused request ran counts as one, one
+// with others as its part.
 func (l *List) Refused(now time.Time, d Digest, limit int) bool {
-	return l.crashes(now, d) >= max(limit, 1)
+	return l.Suspect(now, d) && l.evidence(d) > float64(max(limit, 1))-evidenceMargin
 }
 
-func (l *List) crashes(now time.Time, d Digest) int {
-	a, ok := l.Accused[d]
-	if !ok || now.Sub(a.Last) > lifetime {
-		return 0
+// evidence sums the parts of the crashes that speak against the request.
+func (l *List) evidence(d Digest) (sum float64) {
+	for _, c := range l.Accused[d].Crashes {
+		sum += 1 / float64(l.suspects(c))
+	}
+	return sum
+}
+
+// suspects counts the requests that ran during a crash and stand accused.
+func (l *List) suspects(c Crash) (n int) {
+	for _, a := range l.Accused {
+		if slices.ContainsFunc(a.Crashes, c.same) {
+			n++
+		}
 	}
-	return len(a.Upstreams)
+	return n
 }
 
 // Encode returns the list as JSON.
