Cut a killed router off from its peers too

Cause: the tests' killed router could still send ops to page owners, so that its shares came back by an idle return. Change: a closed client of peers fails its calls, killing a router closes it, and the grace in the test is 5 s, past which the follower used to stop counting. Conclusion: all tests that kill a router now kill it.

--- a/internal/embedded/outage_test.go
+++ b/internal/embedded/outage_test.go
@@ -144,7 +144,7 @@
 		s.Answers.Policy.RefillHorizonSeconds = 1
 		s.Timing.LeaseTTL = 2 * time.Second
 		s.Timing.Reclaim = 100 * time.Millisecond
-		s.Timing.ReclaimGrace = time.Second
+		s.Timing.ReclaimGrace = 5 * time.Second
 	})
 	warm(t, d)
 	dead := d.Routers[0].Incarnation()
--- a/internal/peerclient/peerclient.go
+++ b/internal/peerclient/peerclient.go
@@ -20,6 +20,7 @@
 	"net/netip"
 	"net/url"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -96,6 +97,7 @@
 type Client struct {
 	settings Settings
 	http     *http.Client
+	closed   atomic.Bool
 
 	mu       sync.Mutex
 	silentTo map[netip.AddrPort]time.Time // routers to be avoided, and until when
@@ -116,8 +118,10 @@
 	}
 }
 
-// Close closes the idle connections.
+// Close closes the idle connections. Later calls fail with
+// dispatch.ErrUnreachable.
 func (c *Client) Close() error {
+	c.closed.Store(true)
 	c.http.CloseIdleConnections()
 	return nil
 }
@@ -264,6 +268,9 @@
 
 // call sends in as JSON and decodes the response.
 func call[T any](ctx context.Context, c *Client, timeout time.Duration, method string, address netip.AddrPort, path string, in any) (out T, err error) {
+	if c.closed.Load() {
+		return out, dispatch.ErrUnreachable
+	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	request, err := c.request(ctx, method, address, path, in)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -207,7 +207,7 @@
 // had died. It is for tests; Close still has to be called to free resources.
 func (r *Router) Kill() error {
 	r.draining.Store(true)
-	return errors.Join(r.callers.Close(), r.peers.Close())
+	return errors.Join(r.callers.Close(), r.peers.Close(), r.client.Close())
 }
 
 // abort ends what runs before the router has a configuration.
