--- a/pkg/store/storetest/history.go
+++ b/pkg/store/storetest/history.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -56,14 +57,14 @@
 		history []porcupine.Operation
 		clients sync.WaitGroup
 	)
-	start := time.Now()
+	var order atomic.Int64
 	for id := range historyClients {
 		clients.Go(func() {
 			c := recorder{
 				store: s,
 				rng:   rand.New(rand.NewPCG(seed, uint64(id))),
 				id:    id,
-				start: start,
+				order: &order,
 			}
 			c.run()
 			mu.Lock()
@@ -80,7 +81,7 @@
 	store   store.Store
 	rng     *rand.Rand
 	id      int
-	start   time.Time
+	order   *atomic.Int64 // numbers the beginnings and ends of all calls
 	known   store.Revision
 	history []porcupine.Operation
 }
@@ -92,18 +93,18 @@
 			value:    fmt.Sprintf("%d/%d", c.id, step),
 			expected: c.known,
 		}
-		called := time.Since(c.start)
+		called := c.order.Add(1)
 		output := c.call(input)
 		if output.err != nil && errors.Is(output.err, store.ErrUnavailable) {
 			continue
 		}
-		returned := time.Since(c.start)
+		returned := c.order.Add(1)
 		c.history = append(c.history, porcupine.Operation{
 			ClientId: c.id,
 			Input:    input,
 			Output:   output,
-			Call:     called.Nanoseconds(),
-			Return:   returned.Nanoseconds(),
+			Call:     called,
+			Return:   returned,
 		})
 	}
 }
