Hash a request once, and test the lifetime's guard on delivery

Cause: the digest of a request's content was computed several times for each attempt; taking out the guard on delivering past the lifetime of shares failed no test; the reader of prompts was one long function. Change: the digest is kept with the run; the test of held-back ends has a case past the lifetime; the reader's table of fields stands apart.

--- a/internal/callerapi/prompt.go
+++ b/internal/callerapi/prompt.go
@@ -47,33 +47,52 @@
 	if err := json.Unmarshal(body, &p.fields); err != nil {
 		return p, refusal.New(refusal.BadRequest, "body: %v", err)
 	}
-	var messages []message
-	var limit, completionLimit, choices *int64
-	var streamOptions struct {
+	var o options
+	if refused := p.decode(&o); refused != nil {
+		return p, refused
+	}
+	if o.choices != nil && *o.choices != 1 {
+		return p, refusal.New(refusal.BadRequest, "n: only 1 is supported")
+	}
+	if refused := p.setOutput("max_tokens", o.limit); refused != nil {
+		return p, refused
+	}
+	if refused := p.setOutput("max_completion_tokens", o.completionLimit); refused != nil {
+		return p, refused
+	}
+	p.usage = o.stream.IncludeUsage
+	return p, p.read(o.messages)
+}
+
+// options are the fields of a chat request that need a further check.
+type options struct {
+	messages               []message
+	limit, completionLimit *int64
+	choices                *int64
+	stream                 struct {
 		IncludeUsage bool `json:"include_usage"`
 	}
+}
+
+// decode decodes the fields that the router looks at.
+func (p *prompt) decode(o *options) *refusal.Refusal {
 	for _, f := range []struct {
 		name string
 		into any
 	}{
-		{"model", &p.model}, {"messages", &messages}, {"stream", &p.stream}, {"n", &choices},
-		{"max_tokens", &limit}, {"max_completion_tokens", &completionLimit}, {"stream_options", &streamOptions},
+		{"model", &p.model},
+		{"messages", &o.messages},
+		{"stream", &p.stream},
+		{"n", &o.choices},
+		{"max_tokens", &o.limit},
+		{"max_completion_tokens", &o.completionLimit},
+		{"stream_options", &o.stream},
 	} {
 		if refused := p.field(f.name, f.into); refused != nil {
-			return p, refused
+			return refused
 		}
 	}
-	p.usage = streamOptions.IncludeUsage
-	if choices != nil && *choices != 1 {
-		return p, refusal.New(refusal.BadRequest, "n: only 1 is supported")
-	}
-	if refused := p.setOutput("max_tokens", limit); refused != nil {
-		return p, refused
-	}
-	if refused := p.setOutput("max_completion_tokens", completionLimit); refused != nil {
-		return p, refused
-	}
-	return p, p.read(messages)
+	return nil
 }
 
 func (p *prompt) field(name string, into any) *refusal.Refusal {
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -36,7 +36,7 @@
 
 // quarantined reports whether the whole fleet refuses the request.
 func (x *run) quarantined() bool {
-	return x.d.Quarantine.Refused(x.d.Clock(), x.r.content(), x.d.Policy().CrashLimit)
+	return x.d.Quarantine.Refused(x.d.Clock(), x.content, x.d.Policy().CrashLimit)
 }
 
 // outcome is what a completed attempt gave.
@@ -110,7 +110,7 @@
 	if x.r.Keyed && x.r.Idempotent {
 		x.openClaim(up.ID)
 	}
-	suspect := x.d.Quarantine.Suspect(x.d.Clock(), x.r.content())
+	suspect := x.d.Quarantine.Suspect(x.d.Clock(), x.content)
 	work := x.service.Table.Start(x.d.Clock(), up.ID, x.work(), suspect)
 	var seen routing.Observation
 	defer func() { x.service.Table.Finish(x.d.Clock(), work, seen) }()
@@ -130,7 +130,7 @@
 	if errors.Is(err, engineclient.ErrCrashed) {
 		x.d.Metrics.Crash()
 		event.RequestAccused.Warn(x.d.Log, "upstream", up.ID, "request", x.r.ID)
-		x.d.Quarantine.Accuse(x.d.Clock(), x.r.content(), up.ID)
+		x.d.Quarantine.Accuse(x.d.Clock(), x.content, up.ID)
 		x.service.Table.Forget(up.ID)
 	}
 }
@@ -158,7 +158,7 @@
 func (x *run) query(now time.Time) routing.Query {
 	q := routing.Query{
 		Exclude: slices.Clone(x.tried),
-		Isolate: x.d.Quarantine.Suspect(now, x.r.content()),
+		Isolate: x.d.Quarantine.Suspect(now, x.content),
 	}
 	if c := x.r.Chat; c != nil {
 		q.Model = c.Model
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -11,6 +11,7 @@
 	"example.org/lagoonfork/internal/directory"
 	"example.org/lagoonfork/internal/event"
 	"example.org/lagoonfork/internal/ledger"
+	"example.org/lagoonfork/internal/quarantine"
 	"example.org/lagoonfork/internal/refusal"
 	"example.org/lagoonfork/internal/replay"
 	"example.org/lagoonfork/internal/wallet"
@@ -24,6 +25,7 @@
 	r       *Request
 	answer  *replay.Answer[string, End]
 	attempt ident.Attempt // of the claim; dispatches add a number to it
+	content quarantine.Digest
 	rng     *rand.Rand
 
 	service     *directory.Service
@@ -117,7 +119,7 @@
 	if err != nil {
 		return x.stopped(ctx, err)
 	}
-	x.d.Quarantine.Clear(x.r.content())
+	x.d.Quarantine.Clear(x.content)
 	return x.settle(ctx, out)
 }
 
--- a/internal/dispatch/submit.go
+++ b/internal/dispatch/submit.go
@@ -90,6 +90,7 @@
 		d:       d,
 		r:       r,
 		answer:  answer,
+		content: r.content(),
 		attempt: ident.Attempt(fmt.Sprintf("%s.%d", d.Holder, d.sequence.Add(1))),
 		rng:     random(),
 	}
--- a/internal/embedded/outage_test.go
+++ b/internal/embedded/outage_test.go
@@ -47,26 +47,40 @@
 	assert.Equal(t, len(answered), report.Billed)
 }
 
-func TestStoreOutageWithCautionHoldsTheEndBack(t *testing.T) {
-	d := start(t, 3, func(s *Settings) { s.Answers.Policy.Preference = configuration.PreferCaution })
-	warm(t, d)
-	outage(d, true)
-	a := ask{prompt: "held back [answer of 10 tokens]", tokens: 20, stream: true}
-	ended := make(chan reply, 1)
-	go func() {
-		r, _ := send(context.Background(), d.URL(0), a)
-		ended <- r
-	}()
-	select {
-	case r := <-ended:
-		t.Fatalf("delivered without a bill: %+v", r)
-	case <-time.After(time.Second):
+func TestStoreOutageHoldsTheEndBack(t *testing.T) {
+	tests := map[string]struct {
+		change func(*Settings)
+		wait   time.Duration // from the beginning of the outage
+	}{
+		"caution": {func(s *Settings) { s.Answers.Policy.Preference = configuration.PreferCaution }, 0},
+		"availability past the lifetime of shares": {func(s *Settings) {
+			s.Answers.Policy.ShareLifetimeSeconds, s.Answers.Policy.RefillHorizonSeconds = 1, 1
+		}, 1500 * time.Millisecond},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			d := start(t, 3, tt.change)
+			warm(t, d)
+			outage(d, true)
+			time.Sleep(tt.wait)
+			a := ask{prompt: "held back [answer of 10 tokens]", tokens: 20, stream: true}
+			ended := make(chan reply, 1)
+			go func() {
+				r, _ := send(context.Background(), d.URL(0), a)
+				ended <- r
+			}()
+			select {
+			case r := <-ended:
+				t.Fatalf("delivered without a bill: %+v", r)
+			case <-time.After(time.Second):
+			}
+			outage(d, false)
+			r := <-ended
+			assert.True(t, r.whole)
+			assert.Equal(t, engine.ExpectedAnswer(a.prompt, a.tokens), r.text)
+			requireSound(t, d, []audit.Answered{answeredBy(r, "large-main")})
+		})
 	}
-	outage(d, false)
-	r := <-ended
-	assert.True(t, r.whole)
-	assert.Equal(t, engine.ExpectedAnswer(a.prompt, a.tokens), r.text)
-	requireSound(t, d, []audit.Answered{answeredBy(r, "large-main")})
 }
 
 func TestRouterDiesAfterItsBillsWereHeld(t *testing.T) {
