Measure routing while half of the engines leave

Cause: the worst case that was measured was a fifth of the engines. Change: a scenario with half of them leaving at 45% load.

--- a/internal/routing/measure_test.go
+++ b/internal/routing/measure_test.go
@@ -109,6 +109,7 @@
 	events  eventQueue
 	waits   *hdrhistogram.Histogram
 	frozen  bool
+	load    float64 // of the engines' capacity
 	lost    int
 }
 
@@ -130,7 +131,7 @@
 }
 
 func newModel(seed uint64) *model {
-	m := &model{now: start0, rng: rand.New(rand.NewPCG(seed, 1)), waits: hdrhistogram.New(1, 10_000_000, 3)}
+	m := &model{now: start0, rng: rand.New(rand.NewPCG(seed, 1)), waits: hdrhistogram.New(1, 10_000_000, 3), load: modelLoad}
 	s := service(modelUpstreams)
 	for i := range s.Upstreams {
 		m.engines = append(m.engines, &modelEngine{id: s.Upstreams[i].ID, pace: modelPace})
@@ -159,7 +160,7 @@
 // run sends the requests and returns the waits in milliseconds.
 func (m *model) run(p picker) {
 	perRequest := modelPrefill*modelPrompt + modelPace*modelOutput
-	gap := float64(perRequest) / (modelUpstreams * modelSlots * modelLoad)
+	gap := float64(perRequest) / (modelUpstreams * modelSlots * m.load)
 	at := time.Duration(0)
 	for i := range modelRequests {
 		at += time.Duration(m.rng.ExpFloat64() * gap)
@@ -288,6 +289,18 @@
 	}
 }
 
+// leave lets the first n engines leave after a while.
+func (m *model) leave(n int) {
+	m.at(30*time.Second, func() {
+		for _, e := range m.engines[:n] {
+			e.leaving = true
+			for _, table := range m.tables {
+				table.Leave(e.id, SourceList, true)
+			}
+		}
+	})
+}
+
 // spread is the work of the busiest engine over the mean of those that stay.
 func (m *model) spread() float64 {
 	var most, sum tokens.Count
@@ -321,15 +334,10 @@
 				}
 			})
 		}},
-		{"a fifth leaving", func(m *model) {
-			m.at(30*time.Second, func() {
-				for _, e := range m.engines[:modelUpstreams/5] {
-					e.leaving = true
-					for _, table := range m.tables {
-						table.Leave(e.id, SourceList, true)
-					}
-				}
-			})
+		{"a fifth leaving", func(m *model) { m.leave(modelUpstreams / 5) }},
+		{"half leaving, at 45% load", func(m *model) {
+			m.load = 0.45
+			m.leave(modelUpstreams / 2)
 		}},
 	}
 	for _, s := range scenarios {
