--- a/internal/configwatch/follow.go
+++ b/internal/configwatch/follow.go
@@ -300,7 +300,7 @@
 			failures = 0
 			continue
 		}
-		w.pause(ctx, w.settings.VM, failures, errNoPeer)
+		_ = wait(ctx, w.backoff(failures))
 		failures++
 	}
 }
@@ -346,16 +346,22 @@
 	return head, merry.Prependf(err, "waiting at %s", peer)
 }
 
-// pause waits before the next attempt, twice as long after each failure.
+// pause logs the loss of a source and waits before the next attempt.
 func (w *Watcher) pause(ctx context.Context, source ident.VM, failures int, err error) {
-	d := min(firstRetry<<min(failures, 10), lastRetry)
-	w.randomMu.Lock()
-	d = d/2 + time.Duration(w.settings.Random.Int64N(int64(d/2)))
-	w.randomMu.Unlock()
+	d := w.backoff(failures)
 	event.ConfigurationSourceLost.Warn(w.settings.Log, "source", name(source), "retryAfter", d, "error", err)
 	_ = wait(ctx, d)
 }
 
+// backoff returns the time before the next attempt, twice as long after each
+// failure.
+func (w *Watcher) backoff(failures int) time.Duration {
+	d := min(firstRetry<<min(failures, 10), lastRetry)
+	w.randomMu.Lock()
+	defer w.randomMu.Unlock()
+	return d/2 + time.Duration(w.settings.Random.Int64N(int64(d/2)))
+}
+
 // wait waits until d has passed or ctx has ended.
 func wait(ctx context.Context, d time.Duration) error {
 	timer := time.NewTimer(d)
