Test that long streams outlast the timeouts

Cause: the server's read timeout bounds a whole request in the library, and streams last longer; nothing tested that they go on. Change: a stream and a whole answer of 1.2 s under timeouts of 0.3 s. Conclusion: no fault; the test stays.

--- a/internal/embedded/embedded.go
+++ b/internal/embedded/embedded.go
@@ -57,6 +57,7 @@
 	// a connection to its gateway, so that tests can set faults of one router.
 	Direct bool
 	Timing router.Timing
+	Limits router.Limits
 	Engine engine.Settings
 	Clock  func() time.Time
 	Log    hclog.Logger
@@ -177,6 +178,7 @@
 		Secret:        Secret,
 		Store:         client,
 		Timing:        d.settings.Timing,
+		Limits:        d.settings.Limits,
 		Clock:         d.settings.Clock,
 		Log:           d.settings.Log.Named(fmt.Sprintf("vm-%d", i)),
 	})
--- a/internal/embedded/input_test.go
+++ b/internal/embedded/input_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"example.org/lagoonfork/internal/audit"
+	"example.org/lagoonfork/internal/router"
 )
 
 func TestBadInput(t *testing.T) {
@@ -149,6 +150,21 @@
 	}
 }
 
+// TestLongStreamOutlastsTheTimeouts streams an answer for longer than a caller
+// may take to send its request or to accept a part of the response.
+func TestLongStreamOutlastsTheTimeouts(t *testing.T) {
+	d := start(t, 1, func(s *Settings) {
+		s.Limits = router.Limits{ReadTimeout: 300 * time.Millisecond, WriteTimeout: 300 * time.Millisecond, IdleTimeout: 300 * time.Millisecond}
+		s.Engine.TokenPace = 20 * time.Millisecond
+	})
+	for _, stream := range []bool{true, false} {
+		a := ask{prompt: fmt.Sprintf("long %v [answer of 60 tokens]", stream), tokens: 60, stream: stream}
+		r, err := send(context.Background(), d.URL(0), a)
+		require.NoError(t, err)
+		assert.True(t, r.whole, "%+v", r)
+	}
+}
+
 // half sends the beginning of a request and closes its side.
 func half(t *testing.T, d *Deployment) {
 	c, err := net.Dial("tcp", d.Routers[0].CallerAddress().String())
