--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"time"
 
@@ -78,6 +79,19 @@
 	assert.GreaterOrEqual(t, refusal.RetryAfter, minRetryAfter)
 }
 
+func TestCustomerQueueIsBounded(t *testing.T) {
+	g := New(1)
+	var refusal *Refusal
+	for range maxWaiting + 2 {
+		_, err := g.enqueue(now, Request{Customer: "a", Tokens: 1})
+		errors.As(err, &refusal)
+	}
+	require.NotNil(t, refusal)
+	assert.Equal(t, ReasonQueueFull, refusal.Reason)
+	_, err := g.enqueue(now, Request{Customer: "b", Tokens: 1})
+	assert.NoError(t, err, "another customer still queues")
+}
+
 func TestWithdrawnRequestFreesItsPlace(t *testing.T) {
 	g := New(100)
 	first, err := g.enqueue(now, Request{Customer: "a", Tokens: 100})
--- a/internal/embedded/bench_test.go
+++ b/internal/embedded/bench_test.go
@@ -17,10 +17,10 @@
 )
 
 // startBench runs a deployment with one engine address to call directly.
-func startBench(b *testing.B, pace time.Duration, slots int) (d *Deployment, direct string) {
+func startBench(b *testing.B, routers int, pace time.Duration, slots int) (d *Deployment, direct string) {
 	s := Settings{
 		Answers: testAnswers(b),
-		Routers: 1,
+		Routers: routers,
 		Direct:  true,
 		Timing:  testTiming(),
 		Engine:  engine.Settings{TokenPace: pace},
@@ -46,7 +46,7 @@
 // through a router, in turn, and reports the ratio of the times.
 func BenchmarkAddedLatency(b *testing.B) {
 	const pace, length = 20 * time.Millisecond, 24
-	d, direct := startBench(b, pace, 64)
+	d, direct := startBench(b, 1, pace, 64)
 	var times [2]time.Duration
 	n := 0
 	for b.Loop() {
@@ -67,7 +67,7 @@
 // BenchmarkRequest sends short whole completions through one router, many at a
 // time.
 func BenchmarkRequest(b *testing.B) {
-	d, _ := startBench(b, 0, 256)
+	d, _ := startBench(b, 1, 0, 256)
 	b.SetParallelism(4)
 	b.ReportAllocs()
 	b.RunParallel(func(pb *testing.PB) {
@@ -88,7 +88,7 @@
 func BenchmarkHeldStreams(b *testing.B) {
 	for _, n := range []int{100, 400, 1600} {
 		b.Run(fmt.Sprintf("streams=%d", n), func(b *testing.B) {
-			d, direct := startBench(b, 500*time.Millisecond, 2*n)
+			d, direct := startBench(b, 1, 500*time.Millisecond, 2*n)
 			relay := newRelay(direct)
 			defer relay.Close()
 			for b.Loop() {
@@ -103,13 +103,12 @@
 
 // newRelay returns a server that copies a response as it comes.
 func newRelay(base string) *httptest.Server {
-	client := &http.Client{Transport: &http.Transport{}}
 	return httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		request, err := http.NewRequestWithContext(r.Context(), r.Method, base+r.URL.Path, r.Body)
 		if err != nil {
 			return
 		}
-		response, err := client.Do(request)
+		response, err := http.DefaultTransport.RoundTrip(request)
 		if err != nil {
 			return
 		}
@@ -149,12 +148,11 @@
 	cancel()
 	ended.Wait()
 	http.DefaultClient.CloseIdleConnections()
-	require.Eventually(b, func() bool { return true }, waitFor, 500*time.Millisecond)
+	time.Sleep(500 * time.Millisecond) // the connections' ends are seen
 	return used
 }
 
 func memoryInUse() int64 {
-	runtime.GC()
 	runtime.GC()
 	var m runtime.MemStats
 	runtime.ReadMemStats(&m)
@@ -166,17 +164,7 @@
 func BenchmarkStoreCalls(b *testing.B) {
 	for _, routers := range []int{1, 3, 9} {
 		b.Run(fmt.Sprintf("routers=%d", routers), func(b *testing.B) {
-			s := Settings{
-				Answers: testAnswers(b),
-				Routers: routers,
-				Direct:  true,
-				Timing:  testTiming(),
-				Clock:   time.Now,
-				Log:     testLog(),
-			}
-			d, err := Start(context.Background(), s)
-			require.NoError(b, err)
-			defer func() { _ = d.Close(context.Background()) }()
+			d, _ := startBench(b, routers, 0, 256)
 			before := d.KeyValue.Counts()
 			var next atomic.Int64
 			b.SetParallelism(4)
@@ -200,17 +188,7 @@
 // BenchmarkDuringOutage sends short completions one after the other while the
 // key-value service is away.
 func BenchmarkDuringOutage(b *testing.B) {
-	s := Settings{
-		Answers: testAnswers(b),
-		Routers: 3,
-		Direct:  true,
-		Timing:  testTiming(),
-		Clock:   time.Now,
-		Log:     testLog(),
-	}
-	d, err := Start(context.Background(), s)
-	require.NoError(b, err)
-	defer func() { _ = d.Close(context.Background()) }()
+	d, _ := startBench(b, 3, 0, 256)
 	for _, out := range []bool{false, true} {
 		b.Run(fmt.Sprintf("outage=%v", out), func(b *testing.B) {
 			for i := range 30 {
--- a/internal/embedded/failure_test.go
+++ b/internal/embedded/failure_test.go
@@ -255,18 +255,14 @@
 			return nil
 		})
 	}
-	stop, stopped := make(chan struct{}), make(chan struct{})
-	go func() {
-		defer close(stopped)
-		for {
-			select {
-			case <-time.After(100 * time.Millisecond):
-				restartCrashed(d)
-			case <-stop:
-				return
-			}
+	ctx, stop := context.WithCancel(context.Background())
+	var supervisor sync.WaitGroup
+	supervisor.Go(func() {
+		for ctx.Err() == nil {
+			time.Sleep(100 * time.Millisecond)
+			restartCrashed(d)
 		}
-	}()
+	})
 	quarantined := false
 	for i := 0; i < 10 && !quarantined; i++ {
 		time.Sleep(50 * time.Millisecond)
@@ -276,8 +272,8 @@
 	}
 	assert.True(t, quarantined)
 	require.NoError(t, g.Wait())
-	close(stop)
-	<-stopped
+	stop()
+	supervisor.Wait()
 	requireSound(t, d, answered)
 }
 
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -124,6 +124,14 @@
 	assert.False(t, held())
 }
 
+func TestOlderReportIsIgnored(t *testing.T) {
+	table := NewTable(service(1), Place{})
+	table.Report("u0", Report{Backlog: 7, AsOf: start0.Add(time.Second)})
+	table.Report("u0", Report{Backlog: 900, AsOf: start0, Leaving: true})
+	assert.EqualValues(t, 7, table.Status()[0].Reported)
+	assert.False(t, table.Status()[0].Leaving)
+}
+
 func TestFinishTwiceCountsOnce(t *testing.T) {
 	table := NewTable(service(1), Place{})
 	w := table.Start(start0, "u0", 70, true)
