Remove what the reclaim by page owners left behind

The benchmark of the removed function goes with it, as it measured what no longer runs. Conclusion: nothing but dead code is gone.

--- a/internal/dispatch/submit.go
+++ b/internal/dispatch/submit.go
@@ -96,11 +96,6 @@
 	}
 }
 
-// Find returns the answer that is held or produced under key.
-func (d *Dispatcher) Find(key replay.Key) (*replay.Answer[string, End], bool) {
-	return d.book.Find(key)
-}
-
 // Await waits for the end of an answer that this router holds or produces, and
 // returns it whole. It returns ErrNotHeld if there is none.
 func (d *Dispatcher) Await(ctx context.Context, key replay.Key) (held Held, err error) {
--- a/internal/embedded/bench_test.go
+++ b/internal/embedded/bench_test.go
@@ -68,12 +68,18 @@
 // time.
 func BenchmarkRequest(b *testing.B) {
 	d, _ := startBench(b, 1, 0, 256)
-	b.SetParallelism(4)
 	b.ReportAllocs()
+	sendShort(b, d)
+}
+
+// sendShort sends b.N short whole completions to all routers in turn.
+func sendShort(b *testing.B, d *Deployment) {
+	var next atomic.Int64
+	b.SetParallelism(4)
 	b.RunParallel(func(pb *testing.PB) {
 		for pb.Next() {
 			a := ask{prompt: "short [answer of 8 tokens]", tokens: 8}
-			r, err := send(context.Background(), d.URL(0), a)
+			r, err := send(context.Background(), d.URL(int(next.Add(1))%len(d.Routers)), a)
 			if err != nil || !r.whole {
 				b.Errorf("%v %+v", err, r)
 			}
@@ -166,21 +172,10 @@
 		b.Run(fmt.Sprintf("routers=%d", routers), func(b *testing.B) {
 			d, _ := startBench(b, routers, 0, 256)
 			before := d.KeyValue.Counts()
-			var next atomic.Int64
-			b.SetParallelism(4)
-			b.RunParallel(func(pb *testing.PB) {
-				for pb.Next() {
-					a := ask{prompt: "short [answer of 8 tokens]", tokens: 8}
-					r, err := send(context.Background(), d.URL(int(next.Add(1))%routers), a)
-					if err != nil || !r.whole {
-						b.Errorf("%v %+v", err, r)
-					}
-				}
-			})
+			sendShort(b, d)
 			after := d.KeyValue.Counts()
 			b.ReportMetric(float64(after.Writes-before.Writes)/float64(b.N), "writes/request")
 			b.ReportMetric(float64(after.Reads-before.Reads)/float64(b.N), "reads/request")
-			b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "requests/s")
 		})
 	}
 }
--- a/internal/embedded/sample.go
+++ b/internal/embedded/sample.go
@@ -141,7 +141,7 @@
 	}
 	for i := range s.Deployment.Answers.Services {
 		service := &s.Deployment.Answers.Services[i]
-		if !s.allowed(c, a, service.ID) {
+		if !s.Deployment.Allowed(c.ID, a.ID, service.ID) {
 			continue
 		}
 		if service.Kind == configuration.KindPlain {
@@ -153,12 +153,6 @@
 	return t, t.model != ""
 }
 
-// allowed asks the configuration in force whether an application may use a
-// service.
-func (s *Sample) allowed(c answers.Customer, a answers.Application, service ident.Service) bool {
-	return s.Deployment.Allowed(c.ID, a.ID, service)
-}
-
 // chats sends a whole and a streamed completion, and one key twice.
 func (s *Sample) chats(ctx context.Context, t target) {
 	prompt := func(name string) string { return "Sample: " + name }
--- a/internal/ledger/committer/capacity_test.go
+++ b/internal/ledger/committer/capacity_test.go
@@ -71,20 +71,3 @@
 	runtime.ReadMemStats(&m)
 	return int64(m.HeapAlloc)
 }
-
-// BenchmarkReclaim reports the reads that the reclaiming of one holder takes,
-// which has no share left.
-func BenchmarkReclaim(b *testing.B) {
-	for _, pages := range []int{16, 64, 1024} {
-		b.Run(fmt.Sprintf("pages=%d", pages), func(b *testing.B) {
-			service := keyvalue.New(keyvalue.Settings{})
-			c := open(service.Client(), pages)
-			for b.Loop() {
-				before := service.Counts().Reads
-				require.NoError(b, c.Reclaim(b.Context(), "gone"))
-				b.ReportMetric(float64(service.Counts().Reads-before), "reads")
-			}
-			closeAll(b, c)
-		})
-	}
-}
--- a/internal/ledger/committer/committer.go
+++ b/internal/ledger/committer/committer.go
@@ -44,7 +44,6 @@
 
 	"example.org/lagoonfork/internal/event"
 	"example.org/lagoonfork/internal/ledger"
-	"example.org/lagoonfork/pkg/ident"
 	"example.org/lagoonfork/pkg/store"
 )
 
@@ -140,20 +139,6 @@
 	}
 }
 
-// Reclaim frees the shares of a holder that can act no longer on all pages. It
-// reads each page, and writes those that have a share of the holder.
-func (c *Committer) Reclaim(ctx context.Context, holder ident.Incarnation) (err error) {
-	defer func() { err = merry.Prependf(err, "reclaiming the shares of %s", holder) }()
-	op := ledger.Op{Reclaim: &ledger.Reclaim{Holder: holder}}
-	for n := range c.pages {
-		if _, err := c.ApplyPage(ctx, n, op); err != nil {
-			return err
-		}
-	}
-	event.ShareReclaimed.Info(c.settings.Log, "budget", "all", "holder", holder)
-	return nil
-}
-
 // Close refuses new ops, waits until all ops are durable or ctx ends, and then
 // until the committer has stopped. It returns an error if pushed ops are left.
 func (c *Committer) Close(ctx context.Context) (err error) {
--- a/internal/ledger/committer/kill_test.go
+++ b/internal/ledger/committer/kill_test.go
@@ -101,7 +101,8 @@
 		take := &ledger.TakeOver{Request: "r", From: r.Claim.Holder, To: "b", Attempt: c.Attempt}
 		r = apply(ledger.Op{Budget: "b", Take: take})
 	}
-	require.NoError(t, b.Reclaim(ctx, "a"))
+	_, err := b.ApplyPage(ctx, 0, ledger.Op{Reclaim: &ledger.Reclaim{Holder: "a"}})
+	require.NoError(t, err)
 	if r.Outcome != ledger.Applied {
 		return false
 	}
--- a/internal/peerclient/peerclient.go
+++ b/internal/peerclient/peerclient.go
@@ -251,12 +251,6 @@
 	Draining    bool              `json:"draining"`
 }
 
-// Get returns the body of a peer's response to a GET of path.
-func (c *Client) Get(ctx context.Context, address netip.AddrPort, path string) (data json.RawMessage, err error) {
-	defer func() { err = merry.Prependf(err, "reading %s from %s", path, address) }()
-	return call[json.RawMessage](ctx, c, c.settings.Timeout, http.MethodGet, address, path, nil)
-}
-
 func (c *Client) address(holder ident.Incarnation) (netip.AddrPort, bool) {
 	for _, m := range c.settings.Members.Peers(c.settings.Clock()) {
 		if m.Incarnation == holder {
