Say at a refused draw where the tokens of the budget are

Whether more could be served of what is left was not known, since the line of a refused draw tells only what is free.

Change: the line tells the prepaid tokens, what is settled, and what the shares of other routers have.

Ruled out: refusals with tokens left, failures of upstreams, shares held by routers that do not need them.

Conclusion: the budgets are spent, and what is lost is what was reserved or may have been spent.

--- a/internal/ledger/committer/log.go
+++ b/internal/ledger/committer/log.go
@@ -10,7 +10,8 @@
 	log := c.settings.Log
 	switch {
 	case op.Draw != nil && r.Outcome == ledger.Exhausted:
-		event.DrawRefused.Info(log, "budget", op.Budget, "holder", op.Draw.Holder, "least", op.Draw.Least, "free", r.Free)
+		event.DrawRefused.Info(log, "budget", op.Budget, "holder", op.Draw.Holder, "least", op.Draw.Least, "free", r.Free,
+			"prepaid", op.Draw.Funding.Prepaid, "settled", r.Settled, "others", r.Others)
 	case op.TopUp != nil && r.Outcome == ledger.Applied:
 		event.BudgetToppedUp.Info(log, "budget", op.Budget, "id", op.TopUp.ID, "tokens", op.TopUp.Tokens)
 	case op.Reclaim != nil && op.Budget != "" && r.Outcome == ledger.Applied:
