Read changes through one router of each failure domain

Ruled out: longer intervals, which the two seconds for a change do not allow; reads that may be stale, which are seconds old.

Change: a mirror reads through the router of its failure domain that comes first by a hash of the mirror's name and the VM. That router answers once its own reading brings a change. Only a router that has read the service itself within its interval passes anything on, so that two never confirm each other; where it refuses, is silent or leaves, the service is read. Changes that mean nothing to a router, such as heartbeats, wake nobody and are not passed on. The records of routers are decoded once for each change.

--- a/internal/edge/defaults.go
+++ b/internal/edge/defaults.go
@@ -22,6 +22,9 @@
 	// configurationWait is how long a reading of the configuration waits. It
 	// bounds how long a connection that has gone silent goes unnoticed.
 	configurationWait = 1200 * time.Millisecond
+	// readerWait is how long a reading through another router waits for changes. It
+	// leaves room for a reading of the service itself once that router is silent.
+	readerWait = 500 * time.Millisecond
 	// recordInterval is the time between two readings of the routers' records.
 	recordInterval = 3 * time.Second
 	// lapseGrace is how long the platform allows for records that lapsed during
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -58,6 +58,8 @@
 	// Upstreams returns the upstreams that the entries name, and the errors of
 	// those that name none.
 	Upstreams(entries []store.Entry) ([]roster.Upstream, map[string]error)
+	// SameUpstream reports whether two records of an upstream tell the same.
+	SameUpstream(a, b []byte) bool
 }
 
 // Settings of a Router. All fields but Seeds and Boot are required.
@@ -97,6 +99,7 @@
 	configurations *mirror.Mirror
 	upstreams      *mirror.Mirror
 	records        *mirror.Mirror // of routers
+	members        *members
 	presence       *presence.Presence
 	ledger         *committer.Committer
 	owner          *pageowner.Owner
@@ -138,9 +141,17 @@
 func (r *Router) compose() {
 	s := r.settings
 	configuration, upstreams := s.Translator.Prefixes()
-	r.records = r.mirror("routers", membership.KeyPrefix, recordInterval, 0)
-	r.configurations = r.mirror("configuration", configuration, mirrorInterval, configurationWait)
-	r.upstreams = r.mirror("upstreams", upstreams, mirrorInterval, 0)
+	r.members = newMembers(s.VM, s.FailureDomain, s.Log)
+	r.records = r.mirror(mirror.Settings{
+		Name: "routers", Prefix: membership.KeyPrefix, Interval: recordInterval, ReaderWait: recordInterval,
+	})
+	r.members.follow(r.records)
+	r.configurations = r.mirror(mirror.Settings{
+		Name: "configuration", Prefix: configuration, Interval: mirrorInterval, Wait: configurationWait, ReaderWait: readerWait,
+	})
+	r.upstreams = r.mirror(mirror.Settings{
+		Name: "upstreams", Prefix: upstreams, Interval: mirrorInterval, ReaderWait: readerWait, Same: s.Translator.SameUpstream,
+	})
 	r.presence = presence.Start(presence.Settings{
 		Store: s.Store,
 		Record: membership.Record{
@@ -152,7 +163,7 @@
 		Timeout:  storeTimeout,
 		Log:      s.Log,
 	})
-	r.owner = pageowner.New(pageowner.Settings{Self: s.VM, Members: r.members, Clock: s.Clock})
+	r.owner = pageowner.New(pageowner.Settings{Self: s.VM, Members: r.members.all, Clock: s.Clock})
 	r.ledger = committer.New(committer.Settings{
 		Store:     s.Store,
 		Pages:     ledgerPages,
@@ -221,22 +232,15 @@
 	}
 }
 
-// mirror returns a mirror of the entries under a prefix.
-func (r *Router) mirror(name, prefix string, interval, wait time.Duration) *mirror.Mirror {
+// mirror returns a mirror with the settings that all of them share.
+func (r *Router) mirror(m mirror.Settings) *mirror.Mirror {
 	s := r.settings
-	return mirror.New(mirror.Settings{
-		Name:      name,
-		Prefix:    prefix,
-		Source:    s.Source,
-		Interval:  interval,
-		Wait:      wait,
-		Timeout:   mirrorTimeout,
-		LostAfter: mirrorLostAfter + max(interval, wait),
-		Grace:     lapseGrace,
-		Peers:     r.peerAddresses,
-		Clock:     s.Clock,
-		Log:       s.Log,
-	})
+	m.Source, m.Clock, m.Log = s.Source, s.Clock, s.Log
+	m.Timeout, m.Grace = mirrorTimeout, lapseGrace
+	m.LostAfter = mirrorLostAfter + max(m.Interval, m.Wait)
+	m.Peers = r.peerAddresses
+	m.Readers = func() []netip.AddrPort { return r.members.readers(m.Name) }
+	return mirror.New(m)
 }
 
 // follow puts each change of the mirrors in force.
@@ -280,19 +284,6 @@
 	}
 }
 
-// members returns the records of the routers that are there.
-func (r *Router) members() (all []membership.Record) {
-	for _, e := range r.records.Entries() {
-		record, err := membership.Decode(e.Key, e.Value)
-		if err != nil {
-			event.RecordMalformed.Warn(r.settings.Log, "key", e.Key, "err", err)
-			continue
-		}
-		all = append(all, record)
-	}
-	return all
-}
-
 // Routers returns the number of routers that are known, this one included.
 func (r *Router) Routers() int {
 	return max(r.records.Len(), 1)
@@ -300,7 +291,7 @@
 
 // peerAddresses returns the endpoints of the other routers.
 func (r *Router) peerAddresses() (all []netip.AddrPort) {
-	for _, m := range r.members() {
+	for _, m := range r.members.all() {
 		if m.VM != r.settings.VM {
 			all = append(all, m.Address)
 		}
@@ -327,6 +318,9 @@
 func (r *Router) Close(ctx context.Context) (err error) {
 	defer func() { err = merry.Prepend(err, "stopping the edge router") }()
 	r.stopping.Store(true)
+	for _, m := range []*mirror.Mirror{r.records, r.configurations, r.upstreams} {
+		m.Retire()
+	}
 	event.EdgeStopping.Info(r.settings.Log, "inFlight", r.intake.InFlight())
 	ctx, cancel := context.WithTimeout(ctx, r.settings.DrainTimeout)
 	defer cancel()
--- a/internal/edge/endpoint.go
+++ b/internal/edge/endpoint.go
@@ -78,8 +78,9 @@
 	mux.Handle(pat.Get(FiguresPath), r.figures)
 	mux.Handle(pat.Post(pageowner.Path+":page"), pageowner.Handler(r.ledger))
 	mux.Handle(pat.Post(lending.Path), lending.Handler(r.wallet, r.settings.Clock))
-	mux.Handle(pat.Get(mirror.Path+"routers"), r.records)
-	mux.Handle(pat.Get(mirror.Path+"configuration"), r.configurations)
-	mux.Handle(pat.Get(mirror.Path+"upstreams"), r.upstreams)
+	for name, m := range map[string]*mirror.Mirror{"routers": r.records, "configuration": r.configurations, "upstreams": r.upstreams} {
+		mux.Handle(pat.Get(mirror.Path+name), m)
+		mux.Handle(pat.Post(mirror.ChangesPath+name), m.Relay())
+	}
 	return mux
 }
--- /dev/null
+++ b/internal/edge/members.go
@@ -0,0 +1,87 @@
+package edge
+
+import (
+	"cmp"
+	"fmt"
+	"net/netip"
+	"slices"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/go-hclog"
+
+	"example.org/lagoonfork/internal/event"
+	"example.org/lagoonfork/internal/membership"
+	"example.org/lagoonfork/internal/mirror"
+	"example.org/lagoonfork/pkg/ident"
+)
+
+// members are the routers that have a record. The methods are safe for
+// concurrent use.
+type members struct {
+	vm     ident.VM
+	domain ident.FailureDomain
+	log    hclog.Logger
+
+	mu      sync.Mutex
+	mirror  *mirror.Mirror // of the records
+	changed <-chan struct{}
+	records []membership.Record
+}
+
+func newMembers(vm ident.VM, domain ident.FailureDomain, log hclog.Logger) *members {
+	return &members{vm: vm, domain: domain, log: log}
+}
+
+// follow sets the mirror of the records. Until then there are no members.
+func (m *members) follow(records *mirror.Mirror) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.mirror = records
+}
+
+// all returns the records of the routers. The caller does not change them.
+func (m *members) all() []membership.Record {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.mirror == nil {
+		return nil
+	}
+	select {
+	case <-m.changed:
+	default:
+		if m.changed != nil {
+			return m.records
+		}
+	}
+	m.changed = m.mirror.Changed()
+	m.records = nil
+	for _, e := range m.mirror.Entries() {
+		record, err := membership.Decode(e.Key, e.Value)
+		if err != nil {
+			event.RecordMalformed.Warn(m.log, "key", e.Key, "err", err)
+			continue
+		}
+		m.records = append(m.records, record)
+	}
+	return m.records
+}
+
+// readers returns the endpoints of the routers of this failure domain that read
+// a mirror of the given name rather than this one, first those that do so rather
+// than others. Routers which know the same records agree on the order.
+func (m *members) readers(name string) (endpoints []netip.AddrPort) {
+	rank := func(vm ident.VM) uint64 { return xxhash.Sum64String(fmt.Sprint(name, " ", vm)) }
+	own := rank(m.vm)
+	var before []membership.Record
+	for _, r := range m.all() {
+		if r.FailureDomain == m.domain && r.VM != m.vm && rank(r.VM) > own {
+			before = append(before, r)
+		}
+	}
+	slices.SortFunc(before, func(a, b membership.Record) int { return cmp.Compare(rank(b.VM), rank(a.VM)) })
+	for _, r := range before {
+		endpoints = append(endpoints, r.Address)
+	}
+	return endpoints
+}
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -6,6 +6,10 @@
 // entries are listed. A router that cannot reach the service asks other routers
 // for their copies. Revisions order all of them: a copy never goes back.
 //
+// In a large fleet most routers read through another one that reads the service,
+// which tells them of each change as soon as it has read it. They read the service
+// themselves where that router does not answer, or has not read for long.
+//
 // Entries that went missing while the service was out of reach are kept for a
 // grace period after its return, in which their owners may write them again.
 //
@@ -36,6 +40,7 @@
 	"gopkg.in/tomb.v2"
 
 	"example.org/lagoonfork/internal/event"
+	"example.org/lagoonfork/internal/peerlink"
 	"example.org/lagoonfork/pkg/store"
 )
 
@@ -50,7 +55,8 @@
 	Changes(ctx context.Context, prefix string, from store.Revision, wait time.Duration) (store.Batch, error)
 }
 
-// Settings of a Mirror. All fields but Peers are required.
+// Settings of a Mirror. All fields but Peers, Readers, ReaderWait and Same are
+// required.
 type Settings struct {
 	Source Source
 	// Name tells the mirror from others of the router, Prefix is that of the
@@ -68,6 +74,15 @@
 	Grace time.Duration
 	// Peers returns the endpoints of other routers.
 	Peers func() []netip.AddrPort
+	// Readers returns the endpoints of the routers to read through, best first.
+	// Without any the service is read.
+	Readers func() []netip.AddrPort
+	// ReaderWait is how long a reading through another router waits for changes.
+	ReaderWait time.Duration
+	// Same reports whether two values of an entry mean the same to the router.
+	// Changes that mean nothing wake nobody and are not passed on. Without it,
+	// equal values mean the same.
+	Same  func(a, b []byte) bool
 	Clock func() time.Time
 	Log   hclog.Logger
 }
@@ -77,12 +92,15 @@
 	settings Settings
 	limits   limits
 	client   http.Client
+	links    *peerlink.Links
 	tomb     tomb.Tomb
+	retired  chan struct{}
 
 	mu      sync.Mutex
 	view    view
 	listed  bool
 	lost    bool
+	read    time.Time // when the service itself last confirmed the copy
 	changed chan struct{}
 }
 
@@ -91,7 +109,9 @@
 	m := &Mirror{
 		settings: s,
 		limits:   limits{lostAfter: s.LostAfter, grace: s.Grace},
-		view:     view{entries: make(map[string]store.Entry), missing: make(map[string]time.Time)},
+		view:     newView(s.Same),
+		links:    peerlink.New(peerlink.Settings{Timeout: s.ReaderWait + readerMargin, Clock: s.Clock}),
+		retired:  make(chan struct{}),
 		changed:  make(chan struct{}),
 	}
 	m.client.Transport = &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxPeerHeader}
@@ -102,6 +122,7 @@
 // Close ends the reading and waits.
 func (m *Mirror) Close() error {
 	m.tomb.Kill(nil)
+	defer m.links.Close()
 	return m.tomb.Wait()
 }
 
@@ -151,14 +172,14 @@
 func (m *Mirror) run() error {
 	ctx := m.tomb.Context(context.Background())
 	for {
-		err := m.read(ctx)
+		passed, err := m.readOnce(ctx)
 		m.observe(err)
 		if err != nil && m.Away() {
 			m.ask(ctx)
 		}
 		m.expire()
 		select {
-		case <-time.After(m.pause(err)):
+		case <-time.After(m.pause(passed, err)):
 		case <-m.tomb.Dying():
 			return nil
 		}
@@ -167,44 +188,59 @@
 
 // pause returns the time until the next reading. Routers that were started at
 // the same time do not stay in step.
-func (m *Mirror) pause(err error) time.Duration {
+func (m *Mirror) pause(passed bool, err error) time.Duration {
 	i := m.settings.Interval
 	switch {
 	case err != nil:
 		i /= 2
-	case m.settings.Wait > 0:
+	case passed, m.settings.Wait > 0:
 		return 0
 	}
 	return i*3/4 + rand.N(i/2)
 }
 
-// read takes in the changes since the last reading, or all entries.
-func (m *Mirror) read(ctx context.Context) (err error) {
+// readOnce takes in the changes since the last reading, or all entries. It
+// reports whether another router has passed them on.
+func (m *Mirror) readOnce(ctx context.Context) (passed bool, err error) {
 	defer func() { err = merry.Prepend(err, "reading the key-value service") }()
-	ctx, cancel := context.WithTimeout(ctx, m.settings.Timeout+m.settings.Wait)
-	defer cancel()
 	m.mu.Lock()
 	from, listed := m.view.revision, m.listed
 	m.mu.Unlock()
+	if listed {
+		if b, ok := m.readThrough(ctx, from); ok {
+			m.take(b)
+			return true, nil
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, m.settings.Timeout+m.settings.Wait)
+	defer cancel()
 	if listed {
 		b, err := m.settings.Source.Changes(ctx, m.settings.Prefix, from, m.settings.Wait)
 		if !errors.Is(err, store.ErrCompacted) {
-			m.take(b, err)
-			return err
+			if err == nil {
+				m.confirm()
+				m.take(b)
+			}
+			return false, err
 		}
 	}
 	entries, r, err := m.settings.Source.List(ctx, m.settings.Prefix)
 	if err != nil {
-		return err
+		return false, err
 	}
+	m.confirm()
 	m.install(entries, r)
-	return nil
+	return false, nil
 }
 
-func (m *Mirror) take(b store.Batch, err error) {
-	if err != nil {
-		return
-	}
+// confirm notes that the service itself was read.
+func (m *Mirror) confirm() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.read = m.settings.Clock()
+}
+
+func (m *Mirror) take(b store.Batch) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.settings.Clock()
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -113,7 +113,7 @@
 
 // TestViewOrdersByRevision applies late and repeated changes.
 func TestViewOrdersByRevision(t *testing.T) {
-	v := view{entries: make(map[string]store.Entry), missing: make(map[string]time.Time)}
+	v := newView(nil)
 	at := time.Unix(0, 0)
 	set := func(key string, r store.Revision) store.Event {
 		return store.Event{Entry: store.Entry{Key: key, Revision: r}}
@@ -130,7 +130,7 @@
 func TestLapsedEntriesHaveAGrace(t *testing.T) {
 	l := limits{lostAfter: time.Second, grace: 2 * time.Second}
 	at := time.Unix(100, 0)
-	v := view{entries: make(map[string]store.Entry), missing: make(map[string]time.Time)}
+	v := newView(nil)
 	v.confirm(at, l)
 	v.replace(at, []store.Entry{{Key: "back", Revision: 1}, {Key: "gone", Revision: 1}}, 1, l)
 
--- /dev/null
+++ b/internal/mirror/relay.go
@@ -0,0 +1,133 @@
+package mirror
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"example.org/lagoonfork/pkg/store"
+)
+
+// ChangesPath begins the path under which a router passes on the changes that it
+// reads; the mirror's name follows.
+const ChangesPath = "/peer/changes/"
+
+const (
+	// readerMargin is how long beyond the wait the answer of a router that passes
+	// changes on may take, and how long its own reading may be overdue.
+	readerMargin = 250 * time.Millisecond
+	// maxQuestion bounds a question for changes in bytes.
+	maxQuestion = 1 << 10
+)
+
+// question asks for the changes after a revision.
+type question struct {
+	After      store.Revision `json:"after"`
+	WaitMillis int64          `json:"waitMillis"`
+}
+
+// passed is the wire form of changes up to a revision.
+type passed struct {
+	Revision store.Revision `json:"revision"`
+	Changes  []store.Event  `json:"changes"`
+}
+
+// readThrough reads the changes after a revision through another router. It is
+// not ok if none passes them on.
+func (m *Mirror) readThrough(ctx context.Context, from store.Revision) (b store.Batch, ok bool) {
+	if m.settings.Readers == nil {
+		return b, false
+	}
+	for _, reader := range m.settings.Readers() {
+		if m.links.Avoids(reader) {
+			continue
+		}
+		var answer passed
+		q := question{After: from, WaitMillis: m.settings.ReaderWait.Milliseconds()}
+		if err := m.links.Post(ctx, reader, ChangesPath+m.settings.Name, q, &answer); err != nil {
+			return b, false
+		}
+		return store.Batch{Revision: max(from, answer.Revision), Events: answer.Changes}, true
+	}
+	return b, false
+}
+
+// Relay returns the handler that passes changes on to routers that read through
+// this one. It refuses unless this router itself has read the service lately.
+func (m *Mirror) Relay() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var q question
+		if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxQuestion)).Decode(&q); err != nil {
+			http.Error(w, "the question is not one for changes", http.StatusBadRequest)
+			return
+		}
+		wait := min(max(time.Duration(q.WaitMillis)*time.Millisecond, 0), m.longestSilence())
+		answer, ok := m.await(r.Context(), q.After, wait)
+		if !ok {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(answer) // the asking router sees that it is cut off
+	})
+}
+
+// Retire ends the readings through this router and refuses further ones.
+func (m *Mirror) Retire() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	select {
+	case <-m.retired:
+	default:
+		close(m.retired)
+	}
+}
+
+// await returns the changes after a revision once there are any, or none after
+// the wait. It is not ok if this router cannot vouch for them.
+func (m *Mirror) await(ctx context.Context, after store.Revision, wait time.Duration) (answer passed, ok bool) {
+	waiting, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	for {
+		answer, left, changed := m.known(after)
+		if left <= 0 || len(answer.Changes) > 0 || waiting.Err() != nil {
+			return answer, left > 0
+		}
+		overdue := time.NewTimer(left)
+		select {
+		case <-changed:
+		case <-overdue.C:
+		case <-waiting.Done():
+		case <-m.retired:
+			left = 0
+		}
+		overdue.Stop()
+		if left == 0 || ctx.Err() != nil {
+			return passed{}, false
+		}
+	}
+}
+
+// known returns the changes after a revision, for how long this router can still
+// vouch for them, and the channel that tells of the next change.
+func (m *Mirror) known(after store.Revision) (answer passed, left time.Duration, changed <-chan struct{}) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	events, ok := m.view.changes(after)
+	select {
+	case <-m.retired:
+		ok = false
+	default:
+	}
+	if !ok || m.read.IsZero() {
+		return passed{}, 0, m.changed
+	}
+	left = m.longestSilence() - m.settings.Clock().Sub(m.read)
+	return passed{Revision: m.view.revision, Changes: events}, left, m.changed
+}
+
+// longestSilence is how long after a reading this router still passes it on.
+func (m *Mirror) longestSilence() time.Duration {
+	return max(m.settings.Interval*5/4, m.settings.Wait) + readerMargin
+}
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -89,6 +89,15 @@
 	return err
 }
 
+// Avoids reports whether a router is not asked now, since it did not answer well
+// a moment ago.
+func (l *Links) Avoids(address netip.AddrPort) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	k := l.links[address]
+	return k != nil && l.settings.Clock().Before(k.avoided)
+}
+
 // link returns the way to a router, or nil if it is avoided.
 func (l *Links) link(address netip.AddrPort) *link {
 	l.mu.Lock()
