Read the quarantine through a mirror

Change: the keeper takes in the changes of a mirror where it is given one, and the edge router gives it one, which reads through one router of each failure domain. TestMirroredListIsNotRead fails before, as there is no such setting.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -37,6 +37,7 @@
 	"example.org/lagoonfork/internal/mirror"
 	"example.org/lagoonfork/internal/pageowner"
 	"example.org/lagoonfork/internal/presence"
+	"example.org/lagoonfork/internal/quarantine"
 	"example.org/lagoonfork/internal/quarantine/keeper"
 	"example.org/lagoonfork/internal/repeats"
 	"example.org/lagoonfork/internal/roster"
@@ -99,6 +100,7 @@
 	configurations *mirror.Mirror
 	upstreams      *mirror.Mirror
 	records        *mirror.Mirror // of routers
+	crashes        *mirror.Mirror // of the list of requests that crash upstreams
 	members        *members
 	presence       *presence.Presence
 	ledger         *committer.Committer
@@ -152,6 +154,9 @@
 	r.upstreams = r.mirror(mirror.Settings{
 		Name: "upstreams", Prefix: upstreams, Interval: mirrorInterval, ReaderWait: readerWait, Same: s.Translator.SameUpstream,
 	})
+	r.crashes = r.mirror(mirror.Settings{
+		Name: "quarantine", Prefix: quarantine.Key, Interval: mirrorInterval, Wait: configurationWait, ReaderWait: readerWait,
+	})
 	r.presence = presence.Start(presence.Settings{
 		Store: s.Store,
 		Record: membership.Record{
@@ -187,7 +192,7 @@
 		Log:      s.Log,
 		Interval: walletInterval,
 	})
-	r.quarantine = keeper.New(keeper.Settings{Store: s.Store, Clock: s.Clock, Log: s.Log, Interval: quarantineInterval})
+	r.quarantine = keeper.New(keeper.Settings{Store: s.Store, Mirror: r.crashes, Clock: s.Clock, Log: s.Log, Interval: quarantineInterval})
 	r.pool = exchange.NewPool(exchange.Settings{ConnectTimeout: connectTimeout, IdleLimit: upstreamIdle, Clock: s.Clock})
 	r.intake = intake.New(intake.Settings{
 		Translator: s.Translator,
@@ -224,8 +229,8 @@
 		}
 		return 0
 	})
-	for name, m := range map[string]*mirror.Mirror{"configurationAgeMillis": r.configurations, "upstreamsAgeMillis": r.upstreams} {
-		r.figures.Gauge(name, func() any {
+	for name, m := range r.mirrors() {
+		r.figures.Gauge(name+"AgeMillis", func() any {
 			age, _ := m.Age(r.settings.Clock())
 			return age.Milliseconds()
 		})
@@ -243,6 +248,13 @@
 	return mirror.New(m)
 }
 
+// mirrors returns all mirrors by name.
+func (r *Router) mirrors() map[string]*mirror.Mirror {
+	return map[string]*mirror.Mirror{
+		"configuration": r.configurations, "upstreams": r.upstreams, "routers": r.records, "quarantine": r.crashes,
+	}
+}
+
 // follow puts each change of the mirrors in force.
 func (r *Router) follow() error {
 	for {
@@ -318,7 +330,7 @@
 func (r *Router) Close(ctx context.Context) (err error) {
 	defer func() { err = merry.Prepend(err, "stopping the edge router") }()
 	r.stopping.Store(true)
-	for _, m := range []*mirror.Mirror{r.records, r.configurations, r.upstreams} {
+	for _, m := range r.mirrors() {
 		m.Retire()
 	}
 	event.EdgeStopping.Info(r.settings.Log, "inFlight", r.intake.InFlight())
@@ -336,8 +348,10 @@
 	err = errors.Join(err, r.tomb.Wait())
 	closing, done := context.WithTimeout(context.Background(), closeTimeout)
 	defer done()
-	err = errors.Join(err, r.wallet.Close(closing), r.ledger.Close(closing), r.quarantine.Close(), r.presence.Close(),
-		r.configurations.Close(), r.upstreams.Close(), r.records.Close())
+	err = errors.Join(err, r.wallet.Close(closing), r.ledger.Close(closing), r.quarantine.Close(), r.presence.Close())
+	for _, m := range r.mirrors() {
+		err = errors.Join(err, m.Close())
+	}
 	r.pool.Close()
 	r.owner.Close()
 	r.lending.Close()
--- a/internal/edge/endpoint.go
+++ b/internal/edge/endpoint.go
@@ -78,7 +78,7 @@
 	mux.Handle(pat.Get(FiguresPath), r.figures)
 	mux.Handle(pat.Post(pageowner.Path+":page"), pageowner.Handler(r.ledger))
 	mux.Handle(pat.Post(lending.Path), lending.Handler(r.wallet, r.settings.Clock))
-	for name, m := range map[string]*mirror.Mirror{"routers": r.records, "configuration": r.configurations, "upstreams": r.upstreams} {
+	for name, m := range r.mirrors() {
 		mux.Handle(pat.Get(mirror.Path+name), m)
 		mux.Handle(pat.Post(mirror.ChangesPath+name), m.Relay())
 	}
--- a/internal/quarantine/keeper/keeper.go
+++ b/internal/quarantine/keeper/keeper.go
@@ -3,7 +3,8 @@
 //
 // A Keeper answers from memory. Accusations are written to the service by
 // compare-and-swap in the background, joined with those of other routers. A
-// watch brings each change of the list; without one it is read at an interval.
+// mirror or a watch brings each change of the list; without one it is read at an
+// interval.
 // While the service is out of reach, the router's own accusations stand.
 //
 // # Usage
@@ -39,9 +40,20 @@
 	maxConflicts = 8
 )
 
-// Settings of a Keeper. All fields are required.
+// Mirror is a copy of the list's entry in the key-value service.
+type Mirror interface {
+	// Changed returns a channel that is closed at the next change.
+	Changed() <-chan struct{}
+	Get(key string) (store.Entry, bool)
+	// Away reports whether the service counts as out of reach.
+	Away() bool
+}
+
+// Settings of a Keeper. All fields but Mirror are required.
 type Settings struct {
-	Store    store.Store
+	Store store.Store
+	// Mirror tells of changes. Without it the service is watched.
+	Mirror   Mirror
 	Clock    func() time.Time
 	Log      hclog.Logger
 	Interval time.Duration // between two readings of the list without a watch
@@ -157,6 +169,9 @@
 
 // follow takes in the changes of other routers.
 func (k *Keeper) follow() error {
+	if k.settings.Mirror != nil {
+		return k.followMirror()
+	}
 	ctx := k.tomb.Context(context.Background())
 	for k.tomb.Alive() {
 		if err := k.watch(ctx); err != nil {
@@ -170,6 +185,25 @@
 	return nil
 }
 
+// followMirror takes in each change of the mirror.
+func (k *Keeper) followMirror() error {
+	for {
+		changed := k.settings.Mirror.Changed()
+		if e, ok := k.settings.Mirror.Get(quarantine.Key); ok {
+			if err := k.learn(e); err != nil {
+				event.QuarantineNotFollowed.Debug(k.settings.Log, "error", err)
+			}
+		}
+		k.setFollowing(!k.settings.Mirror.Away())
+		select {
+		case <-changed:
+		case <-time.After(k.settings.Interval):
+		case <-k.tomb.Dying():
+			return nil
+		}
+	}
+}
+
 // watch takes in each change until the watch ends.
 func (k *Keeper) watch(ctx context.Context) (err error) {
 	defer func() { err = merry.Prepend(err, "following the quarantine") }()
--- a/internal/quarantine/keeper/keeper_test.go
+++ b/internal/quarantine/keeper/keeper_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -75,12 +76,66 @@
 	return c.Store.List(ctx, prefix)
 }
 
-// TestFollowedListIsNotRead has another router change the list while a watch
-// tells of it, and this router write to it.
+// TestFollowedListIsNotRead changes the list while a watch tells of it.
 func TestFollowedListIsNotRead(t *testing.T) {
 	service := keyvalue.New(keyvalue.Settings{})
 	c := &counted{Store: service.Client()}
-	k, other := newKeeper(t, c), newKeeper(t, service.Client())
+	checkFollows(t, c, newKeeper(t, c), newKeeper(t, service.Client()))
+}
+
+// copied is a mirror's copy of the list.
+type copied struct {
+	mu      sync.Mutex
+	entry   store.Entry
+	changed chan struct{}
+}
+
+func (c *copied) Changed() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.changed
+}
+
+func (c *copied) Get(string) (store.Entry, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.entry, c.entry.Revision > 0
+}
+
+func (c *copied) Away() bool { return false }
+
+// copying is a store whose writes a mirror sees.
+type copying struct {
+	store.Store
+	copy *copied
+}
+
+func (c copying) Put(ctx context.Context, key string, value []byte, cond store.Condition, lease store.Lease) (store.Revision, error) {
+	r, err := c.Store.Put(ctx, key, value, cond, lease)
+	if err != nil {
+		return r, err
+	}
+	c.copy.mu.Lock()
+	defer c.copy.mu.Unlock()
+	c.copy.entry = store.Entry{Key: key, Value: value, Revision: r}
+	close(c.copy.changed)
+	c.copy.changed = make(chan struct{})
+	return r, nil
+}
+
+// TestMirroredListIsNotRead is the same with a mirror in place of a watch.
+func TestMirroredListIsNotRead(t *testing.T) {
+	service := keyvalue.New(keyvalue.Settings{})
+	c := &counted{Store: service.Client()}
+	m := &copied{changed: make(chan struct{})}
+	k := New(Settings{Store: c, Mirror: m, Clock: func() time.Time { return now }, Log: hclog.NewNullLogger(), Interval: tick})
+	t.Cleanup(func() { assert.NoError(t, k.Close()) })
+	checkFollows(t, c, k, newKeeper(t, copying{Store: service.Client(), copy: m}))
+}
+
+// checkFollows has another router change the list, and the one whose readings are
+// counted write to it.
+func checkFollows(t *testing.T, c *counted, k, other *Keeper) {
 	other.Accuse(now, "first", "u")
 	assert.Eventually(t, func() bool { return k.Suspect(now, "first") }, waitFor, tick)
 	var before int64
