Go on with the ledger as soon as the service is heard of again

Its ledger pauses up to a second between tries, each of which may take half a second to fail, and leaves the owner of the page alone for two. By then the customer's bodies, 1.1 MB/s, fill its link of 10 Mbit/s, and no call comes through for want of a draw.

Change: a mirror that reads again after a failure wakes the ledger, which ends its pause, counts tries anew and asks the owner again. TestWakeEndsThePauseAfterAnOutage and TestWakeHasTheOwnerCalledAgain fail before, as there is no such call.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -144,6 +144,16 @@
 	s := r.settings
 	configuration, upstreams := s.Translator.Prefixes()
 	r.members = newMembers(s.VM, s.FailureDomain, s.Log)
+	r.owner = pageowner.New(pageowner.Settings{Self: s.VM, Members: r.members.all, Clock: s.Clock})
+	r.ledger = committer.New(committer.Settings{
+		Store:     s.Store,
+		Pages:     ledgerPages,
+		Retention: time.Hour,
+		Forward:   r.owner,
+		Clock:     s.Clock,
+		Log:       s.Log,
+		Timeout:   storeTimeout,
+	})
 	r.records = r.mirror(mirror.Settings{
 		Name: "routers", Prefix: membership.KeyPrefix, Interval: recordInterval, ReaderWait: recordInterval,
 	})
@@ -168,16 +178,6 @@
 		Timeout:  storeTimeout,
 		Log:      s.Log,
 	})
-	r.owner = pageowner.New(pageowner.Settings{Self: s.VM, Members: r.members.all, Clock: s.Clock})
-	r.ledger = committer.New(committer.Settings{
-		Store:     s.Store,
-		Pages:     ledgerPages,
-		Retention: time.Hour,
-		Forward:   r.owner,
-		Clock:     s.Clock,
-		Log:       s.Log,
-		Timeout:   storeTimeout,
-	})
 	r.lending = lending.New(lending.Settings{Peers: r.peerAddresses, Timeout: loanTimeout, Clock: s.Clock})
 	r.wallet = wallet.New(wallet.Settings{
 		Holder:   s.Incarnation,
@@ -244,10 +244,17 @@
 	m.Timeout, m.Grace = mirrorTimeout, lapseGrace
 	m.LostAfter = mirrorLostAfter + max(m.Interval, m.Wait)
 	m.Peers = r.peerAddresses
+	m.Regained = r.regained
 	m.Readers = func() []netip.AddrPort { return r.members.readers(m.Name) }
 	return mirror.New(m)
 }
 
+// regained goes on with what waited for the key-value service or other routers.
+func (r *Router) regained() {
+	r.owner.Forgive()
+	r.ledger.Wake()
+}
+
 // mirrors returns all mirrors by name.
 func (r *Router) mirrors() map[string]*mirror.Mirror {
 	return map[string]*mirror.Mirror{
--- a/internal/ledger/committer/backoff.go
+++ b/internal/ledger/committer/backoff.go
@@ -40,7 +40,55 @@
 	for ; attempt > 0 && d < c.settings.BackoffLimit; attempt-- {
 		d *= 2
 	}
-	return c.sleep(c.jitter.spread(min(d, c.settings.BackoffLimit)))
+	timer := time.NewTimer(c.jitter.spread(min(d, c.settings.BackoffLimit)))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-c.woken.wait():
+	case <-c.tomb.Dying():
+	}
+	return c.tomb.Alive()
+}
+
+// Wake ends the pauses after failed calls. It is called once the key-value
+// service is heard of again, so that ops which waited for it go on at once.
+func (c *Committer) Wake() {
+	c.woken.wake()
+}
+
+// signal wakes all who wait for it. The zero value is ready for use. It is safe for
+// concurrent use.
+type signal struct {
+	mu    sync.Mutex
+	next  chan struct{}
+	times int
+}
+
+// wait returns a channel that is closed at the next wake.
+func (s *signal) wait() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.next == nil {
+		s.next = make(chan struct{})
+	}
+	return s.next
+}
+
+func (s *signal) wake() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.times++
+	if s.next != nil {
+		close(s.next)
+		s.next = nil
+	}
+}
+
+// count returns how often the signal was given.
+func (s *signal) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.times
 }
 
 // sleep waits for d. It reports false if the committer stops.
--- a/internal/ledger/committer/committer.go
+++ b/internal/ledger/committer/committer.go
@@ -55,6 +55,7 @@
 	pages    []page
 	tomb     tomb.Tomb
 	jitter   jitter
+	woken    signal
 
 	mu      sync.RWMutex // held for writing only to set closed
 	closed  bool
--- a/internal/ledger/committer/forward.go
+++ b/internal/ledger/committer/forward.go
@@ -41,7 +41,7 @@
 // passBatch passes batch to the owner, or to the direct queue if that fails.
 func (c *Committer) passBatch(p *page, batch []*request) {
 	now := c.settings.Clock()
-	if now.Before(p.pausedUntil) {
+	if now.Before(p.pausedUntil) && p.pausedWakes == c.woken.count() {
 		c.start(p, false, batch)
 		return
 	}
@@ -56,7 +56,7 @@
 		return
 	}
 	if !errors.Is(err, ErrOwner) {
-		p.pausedUntil = now.Add(forwardPause)
+		p.pausedUntil, p.pausedWakes = now.Add(forwardPause), c.woken.count()
 		event.LedgerForwardFailed.Info(c.settings.Log, "page", p.number, "error", err)
 	}
 	sure := errors.Is(err, ErrOwner) || errors.Is(err, store.ErrUnavailable)
--- a/internal/ledger/committer/page.go
+++ b/internal/ledger/committer/page.go
@@ -35,9 +35,11 @@
 
 	segments map[ledger.SegmentID]*ledger.Segment // cached
 
-	// pausedUntil is when the forwarder is tried again. It belongs to the
-	// goroutine that takes from forward.
+	// pausedUntil is when the forwarder is tried again, unless the committer is
+	// woken before, which pausedWakes counts. They belong to the goroutine that
+	// takes from forward.
 	pausedUntil time.Time
+	pausedWakes int
 
 	mu       sync.Mutex
 	data     []byte // last known encoding
@@ -66,7 +68,11 @@
 // commit makes all ops of batch durable, and those that join it while it is
 // being repeated.
 func (c *Committer) commit(p *page, batch []*request) {
+	wakes := c.woken.count()
 	for attempt := 0; len(batch) > 0; attempt++ {
+		if n := c.woken.count(); n != wakes {
+			attempt, wakes = 0, n // calls made before say nothing of the service now
+		}
 		var err error
 		batch, err = c.try(p, batch)
 		switch {
--- /dev/null
+++ b/internal/ledger/committer/wake_test.go
@@ -0,0 +1,73 @@
+package committer
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"example.org/lagoonfork/internal/fake/keyvalue"
+	"example.org/lagoonfork/internal/ledger"
+	"example.org/lagoonfork/pkg/store"
+)
+
+// owner is a forwarder that may be out of reach.
+type owner struct {
+	away  atomic.Bool
+	calls atomic.Int64
+}
+
+func (o *owner) Apply(_ context.Context, _ int, ops []ledger.Op) ([]ledger.Result, error) {
+	o.calls.Add(1)
+	if o.away.Load() {
+		return nil, store.ErrUnavailable
+	}
+	return make([]ledger.Result, len(ops)), nil
+}
+
+// TestWakeEndsThePauseAfterAnOutage has a committer that would pause for an hour
+// after a failed call.
+func TestWakeEndsThePauseAfterAnOutage(t *testing.T) {
+	client := keyvalue.New(keyvalue.Settings{Seed: 1}).Client()
+	client.SetFaults(keyvalue.Faults{Outage: true})
+	c := New(Settings{Store: client, Pages: 1, Clock: clock, Backoff: time.Hour, BackoffLimit: time.Hour})
+	done := make(chan error, 1)
+	go func() {
+		_, err := c.Apply(t.Context(), draw("one", 1, 10))
+		done <- err
+	}()
+	require.Eventually(t, func() bool { return c.Counters().Unavailable.Value() > 0 }, 10*time.Second, time.Millisecond)
+	client.SetFaults(keyvalue.Faults{})
+	for waiting := true; waiting; {
+		c.Wake() // again, as the pause begins after the call is counted
+		select {
+		case err := <-done:
+			require.NoError(t, err)
+			waiting = false
+		case <-time.After(time.Millisecond):
+		}
+	}
+	closeAll(t, c)
+}
+
+// TestWakeHasTheOwnerCalledAgain finds the owner out of reach once.
+func TestWakeHasTheOwnerCalledAgain(t *testing.T) {
+	o := new(owner)
+	o.away.Store(true)
+	c := New(Settings{Store: keyvalue.New(keyvalue.Settings{Seed: 1}).Client(), Pages: 1, Clock: clock, Forward: o})
+	apply := func(sequence uint64) {
+		_, err := c.Apply(t.Context(), draw("one", sequence, 10))
+		require.NoError(t, err)
+	}
+	apply(1)
+	o.away.Store(false)
+	apply(2)
+	assert.EqualValues(t, 1, o.calls.Load(), "the owner is left alone for a while")
+	c.Wake()
+	apply(3)
+	assert.EqualValues(t, 2, o.calls.Load())
+	closeAll(t, c)
+}
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -55,8 +55,8 @@
 	Changes(ctx context.Context, prefix string, from store.Revision, wait time.Duration) (store.Batch, error)
 }
 
-// Settings of a Mirror. All fields but Peers, Readers, ReaderWait and Same are
-// required.
+// Settings of a Mirror. All fields but Peers, Readers, ReaderWait, Same and
+// Regained are required.
 type Settings struct {
 	Source Source
 	// Name tells the mirror from others of the router, Prefix is that of the
@@ -82,9 +82,11 @@
 	// Same reports whether two values of an entry mean the same to the router.
 	// Changes that mean nothing wake nobody and are not passed on. Without it,
 	// equal values mean the same.
-	Same  func(a, b []byte) bool
-	Clock func() time.Time
-	Log   hclog.Logger
+	Same func(a, b []byte) bool
+	// Regained, if set, is called when a reading has succeeded after a failed one.
+	Regained func()
+	Clock    func() time.Time
+	Log      hclog.Logger
 }
 
 // Mirror is the copy. Its methods are safe for concurrent use.
@@ -294,5 +296,8 @@
 		event.StoreLost.Warn(m.settings.Log, "mirror", m.settings.Name, "error", err, "age", age, "revision", revision)
 	case err == nil && was:
 		event.StoreRegained.Info(m.settings.Log, "mirror", m.settings.Name, "revision", revision)
+		if m.settings.Regained != nil {
+			m.settings.Regained()
+		}
 	}
 }
--- a/internal/pageowner/pageowner.go
+++ b/internal/pageowner/pageowner.go
@@ -64,6 +64,11 @@
 	o.links.Close()
 }
 
+// Forgive has owners called again that did not answer well before.
+func (o *Owner) Forgive() {
+	o.links.Forgive()
+}
+
 // Apply implements committer.Forward.
 func (o *Owner) Apply(ctx context.Context, page int, ops []ledger.Op) (results []ledger.Result, err error) {
 	defer func() { err = merry.Prependf(err, "passing ops to the owner of page %d", page) }()
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -89,6 +89,15 @@
 	return err
 }
 
+// Forgive has routers asked again that did not answer well before.
+func (l *Links) Forgive() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, k := range l.links {
+		k.avoided = time.Time{}
+	}
+}
+
 // Avoids reports whether a router is not asked now, since it did not answer well
 // a moment ago.
 func (l *Links) Avoids(address netip.AddrPort) bool {
