Compress large pages of the ledger

Cause: a page of 24 budgets that 77 routers share is 460 KB, as each share repeats the names of its holder, VM and boot. A router with a link of 10 Mbit/s needs half a second to write it.

Change: a page above 8 KB is compressed with Zstandard, to a twelfth here, before it is written; pages are read whether compressed or not. Claims are sealed by the plain size as before, as their cost is that of decoding. The test of a full page has content that cannot be compressed, as it would fit otherwise. TestPageOfALargeFleetIsSmall fails before: 463 KB.

--- a/internal/ledger/codec.go
+++ b/internal/ledger/codec.go
@@ -125,14 +125,17 @@
 	return b.encoded, err
 }
 
-// Decode returns the page that data encodes. It refuses unknown fields and
-// pages that fail Check. No data is the empty page.
+// Decode returns the page that data encodes, whether packed or not. It refuses
+// unknown fields and pages that fail Check. No data is the empty page.
 func Decode(data []byte) (p *Page, err error) {
 	defer func() { err = merry.Prepend(err, "decoding ledger page") }()
 	p = new(Page)
 	if len(data) == 0 {
 		return p, nil
 	}
+	if data, err = unpack(data); err != nil {
+		return nil, err
+	}
 	if err := decodeStrictly(data, p); err != nil {
 		return nil, err
 	}
--- a/internal/ledger/committer/page.go
+++ b/internal/ledger/committer/page.go
@@ -223,30 +223,38 @@
 }
 
 // encode drops claims past their retention from time to time, seals ended claims
-// of a page that has grown, and returns the page's encoding for the write id. It
-// returns ledger.ErrPageFull if that is too long to write.
+// of a page that has grown, and returns the page's packed encoding for the write
+// id. It returns ledger.ErrPageFull if that is too long to write.
 func (c *Committer) encode(p *page, now time.Time, id ledger.WriteID) (data []byte, err error) {
 	p.current.Touch(now)
 	if now.Sub(p.pruned) >= min(c.settings.Retention/pruneFraction, maxPruneInterval) {
 		p.current.Prune(now, c.settings.Retention)
 		p.pruned = now
 	}
-	data, err = ledger.EncodeWrite(p.current, int64(p.revision), id)
-	if err == nil && len(data) > c.settings.SealSize {
-		data, err = c.encodeSealed(p, data, id)
-	}
+	data, err = c.encodePacked(p, id)
 	if err != nil || len(data) <= store.MaxValueSize {
 		return data, err
 	}
 	if p.current.Prune(now, c.settings.Retention) > 0 {
-		data, err = ledger.EncodeWrite(p.current, int64(p.revision), id)
+		data, err = c.encodePacked(p, id)
 	}
-	if len(data) > store.MaxValueSize {
+	if err == nil && len(data) > store.MaxValueSize {
 		return nil, merry.Prependf(ledger.ErrPageFull, "%d bytes", len(data))
 	}
 	return data, err
 }
 
+func (c *Committer) encodePacked(p *page, id ledger.WriteID) (data []byte, err error) {
+	data, err = ledger.EncodeWrite(p.current, int64(p.revision), id)
+	if err == nil && len(data) > c.settings.SealSize {
+		data, err = c.encodeSealed(p, data, id)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return ledger.Pack(data)
+}
+
 // encodeSealed seals ended claims as long as the page is too large and that is
 // worth a segment, and returns the page's encoding then.
 func (c *Committer) encodeSealed(p *page, data []byte, id ledger.WriteID) ([]byte, error) {
