Give duties to the largest VMs, and the ledger a next owner

The service refuses the owner of the page, chosen by a hash alone, a VM with a fifth of a core. Ops that are passed to it wait until they are given up after 150 ms; then all 77 routers write the page themselves.

Change: membership.Ranked orders the routers for a duty by capacity, which their records carry from the settings (processorShare, linkMegabits), then by hash. The page's owner and the routers that read for others are the first in that order. A router whose own calls do not succeed refuses ops of others at once, and they go to the next. A call to an owner may take 400 ms.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -69,6 +69,8 @@
 	Incarnation   ident.Incarnation
 	FailureDomain ident.FailureDomain
 	Region        ident.Region
+	// Capacity is that of membership.Record.
+	Capacity int
 	// CallerAddress, ReadyAddress and PeerAddress are listened on.
 	CallerAddress, ReadyAddress, PeerAddress netip.AddrPort
 	ReadyPath                                string
@@ -171,7 +173,7 @@
 		Store: s.Store,
 		Record: membership.Record{
 			VM: s.VM, Incarnation: s.Incarnation, Address: s.PeerAddress,
-			FailureDomain: s.FailureDomain, Region: s.Region, Started: s.Clock(),
+			FailureDomain: s.FailureDomain, Region: s.Region, Capacity: s.Capacity, Started: s.Clock(),
 		},
 		TTL:      presenceTTL,
 		Interval: presenceInterval,
--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -1,13 +1,9 @@
 package edge
 
 import (
-	"cmp"
-	"fmt"
 	"net/netip"
-	"slices"
 	"sync"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/go-hclog"
 
 	"example.org/lagoonfork/internal/event"
@@ -69,19 +65,19 @@
 
 // readers returns the endpoints of the routers of this failure domain that read
 // a mirror of the given name rather than this one, first those that do so rather
-// than others. Routers which know the same records agree on the order.
+// than others. Before this router's own record is known there are none.
 func (m *members) readers(name string) (endpoints []netip.AddrPort) {
-	rank := func(vm ident.VM) uint64 { return xxhash.Sum64String(fmt.Sprint(name, " ", vm)) }
-	own := rank(m.vm)
-	var before []membership.Record
+	var near []membership.Record
 	for _, r := range m.all() {
-		if r.FailureDomain == m.domain && r.VM != m.vm && rank(r.VM) > own {
-			before = append(before, r)
+		if r.FailureDomain == m.domain {
+			near = append(near, r)
 		}
 	}
-	slices.SortFunc(before, func(a, b membership.Record) int { return cmp.Compare(rank(b.VM), rank(a.VM)) })
-	for _, r := range before {
+	for _, r := range membership.Ranked(name, near) {
+		if r.VM == m.vm {
+			return endpoints
+		}
 		endpoints = append(endpoints, r.Address)
 	}
-	return endpoints
+	return nil
 }
--- a/internal/ledger/committer/backoff.go
+++ b/internal/ledger/committer/backoff.go
@@ -53,6 +53,9 @@
 // Wake ends the pauses after failed calls. It is called once the key-value
 // service is heard of again, so that ops which waited for it go on at once.
 func (c *Committer) Wake() {
+	for i := range c.pages {
+		c.pages[i].refused.Store(0)
+	}
 	c.woken.wake()
 }
 
--- a/internal/ledger/committer/committer.go
+++ b/internal/ledger/committer/committer.go
@@ -105,12 +105,16 @@
 
 // ApplyLocal applies ops in order to page n without the forwarder. It serves
 // the routers that forward their ops to this one. Unless all ops are durable
-// it returns an error, as Apply does.
+// it returns an error, as Apply does. While the key-value service refuses this
+// router, it refuses them at once, as another router may be able to write.
 func (c *Committer) ApplyLocal(ctx context.Context, n int, ops []ledger.Op) (rs []ledger.Result, err error) {
 	defer func() { err = merry.Prependf(err, "applying %d forwarded ops to ledger page %d", len(ops), n) }()
 	if n < 0 || n >= len(c.pages) {
 		return nil, merry.Prepend(store.ErrUnavailable, "no such page")
 	}
+	if c.refusedLately(&c.pages[n]) {
+		return nil, merry.Prepend(store.ErrUnavailable, "the key-value service refused the last call")
+	}
 	var rqs []*request
 	for _, op := range ops {
 		if op.Budget != "" && ledger.Index(op.Budget, len(c.pages)) != n {
--- a/internal/ledger/committer/page.go
+++ b/internal/ledger/committer/page.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -28,6 +29,10 @@
 	pruned      time.Time
 	unavailable bool
 
+	// refused is the time of the last call that did not succeed, in Unix
+	// nanoseconds, and 0 after one that did.
+	refused atomic.Int64
+
 	// lost are the writes guarded by the revision fence whose answers were
 	// lost. They may still take effect while the page has that revision.
 	lost  []lostWrite
@@ -347,6 +352,7 @@
 
 // failed counts and logs a call that did not succeed.
 func (c *Committer) failed(p *page, err error) {
+	p.refused.Store(c.settings.Clock().UnixNano())
 	if errors.Is(err, store.ErrUnknown) {
 		c.counters.Unknown.Add(1)
 		event.LedgerWriteUnknown.Warn(c.settings.Log, "page", p.number, "error", err)
@@ -359,7 +365,18 @@
 	p.unavailable = true
 }
 
+// refusalMemory is how long the ops of other routers are refused after a call
+// that did not succeed.
+const refusalMemory = time.Second
+
+// refusedLately reports whether the last call for p did not succeed a moment ago.
+func (c *Committer) refusedLately(p *page) bool {
+	at := p.refused.Load()
+	return at != 0 && c.settings.Clock().Sub(time.Unix(0, at)) < refusalMemory
+}
+
 func (c *Committer) available(p *page) {
+	p.refused.Store(0)
 	if p.unavailable {
 		event.LedgerAvailable.Info(c.settings.Log, "page", p.number)
 	}
--- a/internal/ledger/committer/wake_test.go
+++ b/internal/ledger/committer/wake_test.go
@@ -71,3 +71,25 @@
 	assert.EqualValues(t, 2, o.calls.Load())
 	closeAll(t, c)
 }
+
+// TestRefusedRouterRefusesOpsOfOthers has the service refuse the owner of a page.
+func TestRefusedRouterRefusesOpsOfOthers(t *testing.T) {
+	client := keyvalue.New(keyvalue.Settings{Seed: 1}).Client()
+	c := New(Settings{Store: client, Pages: 1, Clock: clock, Backoff: time.Millisecond})
+	apply := func() error {
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		_, err := c.ApplyLocal(ctx, 0, []ledger.Op{draw("other", 1, 10)})
+		return err
+	}
+	require.NoError(t, apply())
+	client.SetFaults(keyvalue.Faults{Outage: true})
+	require.ErrorIs(t, apply(), store.ErrUnavailable)
+	calls := c.Counters().Reads.Value() + c.Counters().Writes.Value()
+	require.ErrorIs(t, apply(), store.ErrUnavailable)
+	assert.Equal(t, calls, c.Counters().Reads.Value()+c.Counters().Writes.Value(), "it is refused without a call")
+	client.SetFaults(keyvalue.Faults{})
+	c.Wake()
+	require.NoError(t, apply())
+	closeAll(t, c)
+}
--- a/internal/membership/record.go
+++ b/internal/membership/record.go
@@ -25,6 +25,9 @@
 	FailureDomain ident.FailureDomain `json:"failureDomain"`
 	Region        ident.Region        `json:"region"`
 	Started       time.Time           `json:"started"`
+	// Capacity tells how much the VM can do for others, as a multiple of what a
+	// small VM can. Routers that say nothing of it have 0.
+	Capacity int `json:"capacity,omitempty"`
 }
 
 // Key returns the key of the record of vm.
--- a/internal/pageowner/pageowner.go
+++ b/internal/pageowner/pageowner.go
@@ -1,10 +1,11 @@
 // Package pageowner brings the ops of all routers on a page of the ledger to one
 // of them, which joins them into few writes.
 //
-// The owner of a page is chosen by a hash of the page and the VM, so that routers
-// which see the same records agree without a word. Two that do not agree do no
-// harm: each write is guarded by the page's revision. A router that cannot reach the
-// owner writes the page itself for a while.
+// The owner of a page is the first by membership.Ranked, so that routers which see
+// the same records agree without a word. Two that do not agree do no harm: each
+// write is guarded by the page's revision. A router whose ops the owner refuses
+// passes them to the next in that order, and writes the page itself where it is
+// the next, or where none of the first few answers.
 //
 // # Usage
 //
@@ -22,7 +23,6 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
-	"github.com/cespare/xxhash/v2"
 
 	"example.org/lagoonfork/internal/ledger"
 	"example.org/lagoonfork/internal/ledger/committer"
@@ -35,9 +35,13 @@
 // Path begins the path of the call to an owner; the number of the page follows.
 const Path = "/peer/ledger/"
 
-// callTimeout bounds a call to an owner. It leaves room for a write of the
-// key-value service, and for a second way within a caller's patience.
-const callTimeout = 150 * time.Millisecond
+const (
+	// callTimeout bounds a call to an owner. It leaves room for a write of the
+	// key-value service, and for a second way within a caller's patience.
+	callTimeout = 400 * time.Millisecond
+	// maxAsked is how many routers are asked for one batch.
+	maxAsked = 3
+)
 
 // Settings of an Owner. All fields are required.
 type Settings struct {
@@ -72,24 +76,27 @@
 // Apply implements committer.Forward.
 func (o *Owner) Apply(ctx context.Context, page int, ops []ledger.Op) (results []ledger.Result, err error) {
 	defer func() { err = merry.Prependf(err, "passing ops to the owner of page %d", page) }()
-	owner, ok := o.of(page)
-	if !ok || owner.VM == o.settings.Self {
-		return nil, committer.ErrOwner
-	}
-	err = o.links.Post(ctx, owner.Address, Path+strconv.Itoa(page), ops, &results)
-	return results, err
-}
-
-// of returns the record of the owner of a page.
-func (o *Owner) of(page int) (owner membership.Record, ok bool) {
-	var best uint64
-	for _, m := range o.settings.Members() {
-		h := xxhash.Sum64String(fmt.Sprint(page, " ", m.VM))
-		if !ok || h > best {
-			owner, best, ok = m, h, true
+	err = merry.Prepend(store.ErrUnavailable, "no owner answered a moment ago")
+	asked := 0
+	for _, owner := range membership.Ranked(fmt.Sprint("page ", page), o.settings.Members()) {
+		switch {
+		case owner.VM == o.settings.Self:
+			return nil, committer.ErrOwner
+		case o.links.Avoids(owner.Address):
+			continue
+		case asked == maxAsked:
+			return nil, err
+		}
+		asked++
+		err = o.links.Post(ctx, owner.Address, Path+strconv.Itoa(page), ops, &results)
+		if !errors.Is(err, store.ErrUnavailable) {
+			return results, err
 		}
 	}
-	return owner, ok
+	if asked == 0 && len(o.settings.Members()) == 0 {
+		return nil, committer.ErrOwner
+	}
+	return nil, err
 }
 
 // Ledger applies ops to pages that this router owns.
--- a/internal/pageowner/pageowner_test.go
+++ b/internal/pageowner/pageowner_test.go
@@ -97,21 +97,24 @@
 	require.ErrorIs(t, err, store.ErrUnavailable)
 }
 
-// TestRoutersAgreeOnOwners has routers with the same records, and checks that only
-// the pages of a VM that leaves move.
-func TestRoutersAgreeOnOwners(t *testing.T) {
-	var members []membership.Record
-	for i := range 9 {
-		members = append(members, membership.Record{VM: ident.VM(fmt.Sprint("vm-", i))})
-	}
-	a, b := owner(t, "vm-0", members...), owner(t, "vm-1", members...)
-	fewer := owner(t, "vm-1", members[:8]...)
-	for page := range 100 {
-		of, _ := a.of(page)
-		same, _ := b.of(page)
-		assert.Equal(t, of.VM, same.VM)
-		if now, _ := fewer.of(page); now.VM != of.VM {
-			assert.EqualValues(t, "vm-8", of.VM)
-		}
-	}
+// TestNextIsAskedOnceTheOwnerRefuses has an owner that the key-value service
+// refuses, and one that it serves.
+func TestNextIsAskedOnceTheOwnerRefuses(t *testing.T) {
+	refusing := membership.Record{VM: "first", Capacity: 3, Address: server(t, answering{err: store.ErrUnavailable})}
+	silent := membership.Record{VM: "first", Capacity: 3, Address: server(t, answering{err: store.ErrUnknown})}
+	writing := membership.Record{VM: "second", Capacity: 2, Address: server(t, answering{})}
+	last := membership.Record{VM: "last", Capacity: 1}
+
+	results, err := owner(t, "last", refusing, writing, last).Apply(t.Context(), 0, ops)
+	require.NoError(t, err)
+	assert.Len(t, results, len(ops))
+
+	_, err = owner(t, "second", refusing, writing, last).Apply(t.Context(), 0, ops)
+	require.ErrorIs(t, err, committer.ErrOwner, "it is the next itself")
+
+	o := owner(t, "last", silent, writing, last)
+	_, err = o.Apply(t.Context(), 0, ops)
+	require.ErrorIs(t, err, store.ErrUnknown, "the ops may have been applied")
+	_, err = o.Apply(t.Context(), 0, ops)
+	require.NoError(t, err, "the owner is avoided")
 }
--- a/internal/settings/edge.go
+++ b/internal/settings/edge.go
@@ -24,6 +24,10 @@
 	Store         netip.AddrPort      `json:"store"`
 	Log           Log                 `json:"log"`
 	Repeats       Repeats             `json:"repeats"`
+	// ProcessorShare is the part of a core that the VM has, LinkMegabits what its
+	// link carries a second.
+	ProcessorShare float64 `json:"processorShare" default:"1" min:"0.001" max:"1024" unit:"cores"`
+	LinkMegabits   float64 `json:"linkMegabits" default:"1000" min:"0.1" max:"1000000" unit:"Mbit/s"`
 	// DrainTimeoutSeconds is how long a stop may take.
 	DrainTimeoutSeconds float64 `json:"drainTimeoutSeconds" default:"8" min:"0.1" max:"600" unit:"seconds"`
 }
@@ -41,6 +45,18 @@
 // DrainTimeout returns how long a stop may take.
 func (e Edge) DrainTimeout() time.Duration { return seconds(e.DrainTimeoutSeconds) }
 
+// What a small VM has. Capacities are multiples of it.
+const (
+	smallProcessor = 0.1 // cores
+	smallLink      = 10  // Mbit/s
+)
+
+// Capacity returns how many times what a small VM has this one has, of what it
+// has less of.
+func (e Edge) Capacity() int {
+	return max(1, int(min(e.ProcessorShare/smallProcessor, e.LinkMegabits/smallLink)))
+}
+
 // DecodeEdge reads the settings of an edge router. If any field is wrong, the
 // error wraps document.Problems.
 func DecodeEdge(data []byte) (e Edge, err error) {
