Have one router write the quarantine for all

Change: routers pass their changes to the one that has the duty, which waits 0.4 s for those of others, writes them together, and answers once they are written. Where it is refused by the service or silent, the next is asked, then a router writes for itself. TestOneRouterWritesForAll and TestRefusedWriterIsReplaced fail before, as there is no such writer.

Ruled out: sharing only what has crashed two upstreams, as three routers may each have seen one crash.

--- a/internal/edge/defaults.go
+++ b/internal/edge/defaults.go
@@ -41,6 +41,12 @@
 	// quarantineInterval is the time between two readings of the requests that
 	// crash upstreams.
 	quarantineInterval = 4 * time.Second
+	// quarantineLinger is how long a change waits for others. What keeps a request
+	// from crashing more upstreams may take seconds.
+	quarantineLinger = 400 * time.Millisecond
+	// dutyTimeout bounds a call to a router that writes for all, which lingers and
+	// may have to write again after a conflict.
+	dutyTimeout = 1500 * time.Millisecond
 
 	ledgerPages = 1
 	// shareHorizon is how long a share lasts at the present rate.
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -26,6 +26,7 @@
 	"github.com/hashicorp/go-hclog"
 	"gopkg.in/tomb.v2"
 
+	"example.org/lagoonfork/internal/duty"
 	"example.org/lagoonfork/internal/event"
 	"example.org/lagoonfork/internal/exchange"
 	"example.org/lagoonfork/internal/figures"
@@ -39,6 +40,7 @@
 	"example.org/lagoonfork/internal/presence"
 	"example.org/lagoonfork/internal/quarantine"
 	"example.org/lagoonfork/internal/quarantine/keeper"
+	"example.org/lagoonfork/internal/quarantine/writer"
 	"example.org/lagoonfork/internal/repeats"
 	"example.org/lagoonfork/internal/roster"
 	"example.org/lagoonfork/internal/route"
@@ -110,6 +112,7 @@
 	lending        *lending.Lending
 	wallet         *wallet.Wallet
 	pool           *exchange.Pool
+	duties         *duty.Caller
 	quarantine     *keeper.Keeper
 	roster         *roster.Roster
 	intake         *intake.Intake
@@ -146,6 +149,7 @@
 	s := r.settings
 	configuration, upstreams := s.Translator.Prefixes()
 	r.members = newMembers(s.VM, s.FailureDomain, s.Log)
+	r.duties = duty.New(duty.Settings{Self: s.VM, Members: r.members.all, Timeout: dutyTimeout, Clock: s.Clock})
 	r.owner = pageowner.New(pageowner.Settings{Self: s.VM, Members: r.members.all, Clock: s.Clock})
 	r.ledger = committer.New(committer.Settings{
 		Store:     s.Store,
@@ -194,7 +198,15 @@
 		Log:      s.Log,
 		Interval: walletInterval,
 	})
-	r.quarantine = keeper.New(keeper.Settings{Store: s.Store, Mirror: r.crashes, Clock: s.Clock, Log: s.Log, Interval: quarantineInterval})
+	r.quarantine = keeper.New(keeper.Settings{
+		Store:    s.Store,
+		Mirror:   r.crashes,
+		Writer:   writer.New(r.duties),
+		Linger:   quarantineLinger,
+		Clock:    s.Clock,
+		Log:      s.Log,
+		Interval: quarantineInterval,
+	})
 	r.pool = exchange.NewPool(exchange.Settings{ConnectTimeout: connectTimeout, IdleLimit: upstreamIdle, Clock: s.Clock})
 	r.intake = intake.New(intake.Settings{
 		Translator: s.Translator,
@@ -254,6 +266,7 @@
 // regained goes on with what waited for the key-value service or other routers.
 func (r *Router) regained() {
 	r.owner.Forgive()
+	r.duties.Forgive()
 	r.ledger.Wake()
 }
 
@@ -363,6 +376,7 @@
 	}
 	r.pool.Close()
 	r.owner.Close()
+	r.duties.Close()
 	r.lending.Close()
 	event.EdgeStopped.Info(r.settings.Log, "left", left)
 	return err
--- a/internal/edge/endpoint.go
+++ b/internal/edge/endpoint.go
@@ -16,6 +16,7 @@
 	"example.org/lagoonfork/internal/lending"
 	"example.org/lagoonfork/internal/mirror"
 	"example.org/lagoonfork/internal/pageowner"
+	"example.org/lagoonfork/internal/quarantine/writer"
 )
 
 // endpoint is an HTTP server on one address.
@@ -77,6 +78,7 @@
 	mux := goji.NewMux()
 	mux.Handle(pat.Get(FiguresPath), r.figures)
 	mux.Handle(pat.Post(pageowner.Path+":page"), pageowner.Handler(r.ledger))
+	mux.Handle(pat.Post(writer.Path), writer.Handler(r.quarantine))
 	mux.Handle(pat.Post(lending.Path), lending.Handler(r.wallet, r.settings.Clock))
 	for name, m := range r.mirrors() {
 		mux.Handle(pat.Get(mirror.Path+name), m)
--- a/internal/event/routing.go
+++ b/internal/event/routing.go
@@ -20,6 +20,8 @@
 		"The list of crashing requests could not be exchanged with the key-value service; it is tried again.")
 	QuarantineNotFollowed = define(315, "quarantine not followed",
 		"The watch of the list of crashing requests has ended; the list is read at an interval until there is another. Fields: error.")
+	QuarantineNotPassed = define(316, "quarantine not passed",
+		"Another router did not write changes of the list of crashing requests for this one, which writes them itself. Fields: error.")
 	LoadNotRead = define(311, "load not read",
 		"An upstream did not report its load. It takes no new work for a while.")
 	ListNotRead = define(314, "list of VMs not read",
--- a/internal/quarantine/keeper/keeper.go
+++ b/internal/quarantine/keeper/keeper.go
@@ -4,8 +4,10 @@
 // A Keeper answers from memory. Accusations are written to the service by
 // compare-and-swap in the background, joined with those of other routers. A
 // mirror or a watch brings each change of the list; without one it is read at an
-// interval.
-// While the service is out of reach, the router's own accusations stand.
+// interval. While the service is out of reach, the router's own accusations stand.
+//
+// In a large fleet routers pass their changes to one that writes for all, which
+// waits a little for those of others.
 //
 // # Usage
 //
@@ -36,6 +38,9 @@
 const (
 	// callTimeout bounds a call of the key-value service.
 	callTimeout = 2 * time.Second
+	// refusalMemory is how long changes of other routers are refused after a call
+	// that did not succeed.
+	refusalMemory = time.Second
 	// maxConflicts bounds the writes of one round that lose against others.
 	maxConflicts = 8
 )
@@ -49,11 +54,21 @@
 	Away() bool
 }
 
-// Settings of a Keeper. All fields but Mirror are required.
+// Writer writes changes for this router.
+type Writer interface {
+	// Write returns nil once the changes are in the key-value service.
+	Write(ctx context.Context, changes []quarantine.Change) error
+}
+
+// Settings of a Keeper. All fields but Mirror, Writer and Linger are required.
 type Settings struct {
 	Store store.Store
 	// Mirror tells of changes. Without it the service is watched.
-	Mirror   Mirror
+	Mirror Mirror
+	// Writer is tried before this router writes itself.
+	Writer Writer
+	// Linger is how long a change waits for others to be written with it.
+	Linger   time.Duration
 	Clock    func() time.Time
 	Log      hclog.Logger
 	Interval time.Duration // between two readings of the list without a watch
@@ -67,21 +82,18 @@
 
 	mu        sync.Mutex
 	list      quarantine.List // with the pending changes
-	pending   []change
-	known     store.Entry // as last read or written
-	following bool        // a watch tells of each change
-}
-
-// change is an accusation, or a clearance if upstream is empty.
-type change struct {
-	at       time.Time
-	digest   quarantine.Digest
-	upstream ident.Upstream
+	pending   []quarantine.Change
+	foreign   bool          // some of pending are of other routers
+	failed    time.Time     // when the service last refused this router
+	written   int           // how many changes were pending and are written
+	progress  chan struct{} // closed when written grows
+	known     store.Entry   // as last read or written
+	following bool          // a mirror or a watch tells of each change
 }
 
 // New returns a keeper and starts its background work.
 func New(s Settings) *Keeper {
-	k := &Keeper{settings: s, wake: make(chan struct{}, 1)}
+	k := &Keeper{settings: s, wake: make(chan struct{}, 1), progress: make(chan struct{})}
 	k.tomb.Go(k.loop)
 	k.tomb.Go(k.follow)
 	return k
@@ -99,7 +111,7 @@
 	changed := k.list.Accuse(now, d, upstream)
 	k.mu.Unlock()
 	if changed {
-		k.enqueue(change{at: now, digest: d, upstream: upstream})
+		k.enqueue(quarantine.Change{At: now, Digest: d, Upstream: upstream})
 	}
 }
 
@@ -109,7 +121,7 @@
 	changed := k.list.Clear(d)
 	k.mu.Unlock()
 	if changed {
-		k.enqueue(change{digest: d})
+		k.enqueue(quarantine.Change{Digest: d})
 	}
 }
 
@@ -127,11 +139,44 @@
 	return k.list.Suspect(now, d)
 }
 
-func (k *Keeper) enqueue(c change) {
+// Write takes over changes of another router, and returns once they are in the
+// key-value service or ctx ends. While the service refuses this router, Write
+// returns an error that wraps store.ErrUnavailable at once.
+func (k *Keeper) Write(ctx context.Context, changes []quarantine.Change) error {
+	k.mu.Lock()
+	if !k.failed.IsZero() && k.settings.Clock().Sub(k.failed) < refusalMemory {
+		k.mu.Unlock()
+		return merry.Prepend(store.ErrUnavailable, "the key-value service refused the last call")
+	}
+	k.foreign = true
+	k.list.Apply(changes)
+	k.mu.Unlock()
+	last := k.enqueue(changes...)
+	for {
+		k.mu.Lock()
+		written, progress := k.written, k.progress
+		k.mu.Unlock()
+		if written >= last {
+			return nil
+		}
+		select {
+		case <-progress:
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-k.tomb.Dying():
+			return store.ErrUnknown
+		}
+	}
+}
+
+// enqueue returns how many changes are written once these are.
+func (k *Keeper) enqueue(changes ...quarantine.Change) (last int) {
 	k.mu.Lock()
-	k.pending = append(k.pending, c)
+	k.pending = append(k.pending, changes...)
+	last = k.written + len(k.pending)
 	k.mu.Unlock()
 	k.rouse()
+	return last
 }
 
 // rouse has the list exchanged with the service soon.
@@ -147,19 +192,46 @@
 	defer ticker.Stop()
 	for {
 		if k.due() {
-			if err := k.synchronise(k.tomb.Context(context.Background())); err != nil {
+			err := k.synchronise(k.tomb.Context(context.Background()))
+			if err != nil {
 				event.QuarantineNotWritten.Info(k.settings.Log, "error", err)
 			}
+			k.note(err)
 		}
 		select {
 		case <-ticker.C:
 		case <-k.wake:
+			if !k.linger() {
+				return nil
+			}
 		case <-k.tomb.Dying():
 			return nil
 		}
 	}
 }
 
+// note remembers whether the service refused this router.
+func (k *Keeper) note(err error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.failed = time.Time{}
+	if err != nil {
+		k.failed = k.settings.Clock()
+	}
+}
+
+// linger waits for further changes. It reports false if the keeper closes.
+func (k *Keeper) linger() bool {
+	timer := time.NewTimer(k.settings.Linger)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-k.tomb.Dying():
+		return false
+	}
+}
+
 // due reports whether the list has to be exchanged with the service.
 func (k *Keeper) due() bool {
 	k.mu.Lock()
@@ -257,7 +329,7 @@
 		return nil
 	}
 	k.known = e
-	apply(&list, k.pending)
+	list.Apply(k.pending)
 	k.list = list
 	return nil
 }
@@ -265,6 +337,9 @@
 // synchronise joins the pending changes with the list and writes it back.
 func (k *Keeper) synchronise(ctx context.Context) (err error) {
 	defer func() { err = merry.Prepend(err, "synchronising the quarantine") }()
+	if k.pass(ctx) {
+		return nil
+	}
 	for n := range maxConflicts {
 		err = k.exchange(ctx, n > 0)
 		if !errors.Is(err, store.ErrConflict) {
@@ -274,6 +349,27 @@
 	return err
 }
 
+// pass has the pending changes written by another router. It reports false if that
+// did not succeed, or if there are none.
+func (k *Keeper) pass(ctx context.Context) bool {
+	k.mu.Lock()
+	changes, foreign := slices.Clone(k.pending), k.foreign
+	k.mu.Unlock()
+	if k.settings.Writer == nil || len(changes) == 0 || foreign {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if err := k.settings.Writer.Write(ctx, changes); err != nil {
+		event.QuarantineNotPassed.Debug(k.settings.Log, "error", err)
+		return false
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.drop(len(changes))
+	return true
+}
+
 // exchange writes the pending changes once. It reads the list if that is asked
 // for, or if no watch keeps it.
 func (k *Keeper) exchange(ctx context.Context, read bool) error {
@@ -288,7 +384,7 @@
 		return err
 	}
 	changes := k.unwritten()
-	if !apply(&list, changes) {
+	if !list.Apply(changes) {
 		k.take(list, entry, len(changes))
 		return nil
 	}
@@ -315,7 +411,7 @@
 	return k.settings.Store.Get(ctx, quarantine.Key)
 }
 
-func (k *Keeper) unwritten() []change {
+func (k *Keeper) unwritten() []quarantine.Change {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return slices.Clone(k.pending)
@@ -326,22 +422,20 @@
 func (k *Keeper) take(list quarantine.List, e store.Entry, n int) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.pending = k.pending[n:]
+	k.drop(n)
 	if e.Revision < k.known.Revision {
 		return
 	}
 	k.known = e
-	apply(&list, k.pending)
+	list.Apply(k.pending)
 	k.list = list
 }
 
-func apply(list *quarantine.List, changes []change) (changed bool) {
-	for _, c := range changes {
-		if c.upstream == "" {
-			changed = list.Clear(c.digest) || changed
-			continue
-		}
-		changed = list.Accuse(c.at, c.digest, c.upstream) || changed
-	}
-	return changed
+// drop forgets the first n pending changes, which are written. The lock is held.
+func (k *Keeper) drop(n int) {
+	k.pending = k.pending[n:]
+	k.foreign = k.foreign && len(k.pending) > 0
+	k.written += n
+	close(k.progress)
+	k.progress = make(chan struct{})
 }
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -73,6 +73,13 @@
 	Crashes []Crash `json:"crashes"`
 }
 
+// Change is an accusation of a request, or a clearance if there is no upstream.
+type Change struct {
+	At       time.Time      `json:"at,omitzero"`
+	Digest   Digest         `json:"digest"`
+	Upstream ident.Upstream `json:"upstream,omitempty"`
+}
+
 // Crash is a crash of an upstream, as one router saw it.
 type Crash struct {
 	Upstream ident.Upstream `json:"upstream"`
@@ -111,6 +118,18 @@
 	return true
 }
 
+// Apply makes the changes in order. It reports whether the list changed.
+func (l *List) Apply(changes []Change) (changed bool) {
+	for _, c := range changes {
+		if c.Upstream == "" {
+			changed = l.Clear(c.Digest) || changed
+			continue
+		}
+		changed = l.Accuse(c.At, c.Digest, c.Upstream) || changed
+	}
+	return changed
+}
+
 // Clear records that the request completed. It reports whether the list
 // changed.
 func (l *List) Clear(d Digest) (changed bool) {
--- /dev/null
+++ b/internal/quarantine/writer/writer_test.go
@@ -0,0 +1,114 @@
+package writer
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"example.org/lagoonfork/internal/duty"
+	"example.org/lagoonfork/internal/fake/keyvalue"
+	"example.org/lagoonfork/internal/membership"
+	"example.org/lagoonfork/internal/quarantine"
+	"example.org/lagoonfork/internal/quarantine/keeper"
+	"example.org/lagoonfork/pkg/ident"
+	"example.org/lagoonfork/pkg/store"
+)
+
+// counted counts the writes of all routers.
+type counted struct {
+	*keyvalue.Client
+	writes *atomic.Int64
+}
+
+func (c counted) Put(ctx context.Context, key string, value []byte, cond store.Condition, lease store.Lease) (store.Revision, error) {
+	c.writes.Add(1)
+	return c.Client.Put(ctx, key, value, cond, lease)
+}
+
+// fleet is routers of which one writes for all.
+type fleet struct {
+	service *keyvalue.Service
+	writes  atomic.Int64
+	clients []*keyvalue.Client
+	keepers []*keeper.Keeper
+}
+
+func newFleet(t *testing.T, n int) *fleet {
+	f := &fleet{service: keyvalue.New(keyvalue.Settings{Seed: 1})}
+	var members []membership.Record
+	var servers []*http.ServeMux
+	for i := range n {
+		mux := http.NewServeMux()
+		s := httptest.NewServer(mux)
+		t.Cleanup(s.Close)
+		servers = append(servers, mux)
+		members = append(members, membership.Record{
+			VM: ident.VM(fmt.Sprint("vm-", i)), Capacity: n - i, Address: netip.MustParseAddrPort(s.Listener.Addr().String()),
+		})
+	}
+	for i := range n {
+		c := duty.New(duty.Settings{
+			Self: members[i].VM, Members: func() []membership.Record { return members }, Timeout: 5 * time.Second, Clock: time.Now,
+		})
+		t.Cleanup(c.Close)
+		client := f.service.Client()
+		k := keeper.New(keeper.Settings{
+			Store: counted{client, &f.writes}, Writer: New(c), Linger: 50 * time.Millisecond,
+			Clock: time.Now, Log: hclog.NewNullLogger(), Interval: 20 * time.Millisecond,
+		})
+		t.Cleanup(func() { assert.NoError(t, k.Close()) })
+		servers[i].Handle(Path, Handler(k))
+		f.clients, f.keepers = append(f.clients, client), append(f.keepers, k)
+	}
+	return f
+}
+
+// knows waits until all routers refuse a request that crashed so many upstreams.
+func (f *fleet) knows(t *testing.T, d quarantine.Digest, crashes int) {
+	for i, k := range f.keepers {
+		require.Eventually(t, func() bool { return k.Refused(time.Now(), d, crashes) }, 10*time.Second, time.Millisecond, "router %d", i)
+	}
+}
+
+// TestOneRouterWritesForAll has ten routers accuse requests at the same time.
+func TestOneRouterWritesForAll(t *testing.T) {
+	f := newFleet(t, 10)
+	for i, k := range f.keepers {
+		k.Accuse(time.Now(), "shared", ident.Upstream(fmt.Sprint("u-", i)))
+	}
+	f.knows(t, "shared", len(f.keepers))
+	assert.LessOrEqual(t, f.writes.Load(), int64(3), "writes")
+}
+
+// TestRefusedWriterIsReplaced has the service refuse the router that writes.
+func TestRefusedWriterIsReplaced(t *testing.T) {
+	f := newFleet(t, 3)
+	f.clients[0].SetFaults(keyvalue.Faults{Outage: true})
+	f.keepers[0].Accuse(time.Now(), "first", "u-9")
+	for i := 1; i < 3; i++ {
+		f.keepers[i].Accuse(time.Now(), "other", ident.Upstream(fmt.Sprint("u-", i)))
+	}
+	for _, k := range f.keepers[1:] {
+		require.Eventually(t, func() bool { return k.Refused(time.Now(), "other", 2) }, 10*time.Second, time.Millisecond)
+	}
+	f.clients[0].SetFaults(keyvalue.Faults{})
+	f.knows(t, "first", 1)
+}
+
+func TestMalformedChanges(t *testing.T) {
+	s := httptest.NewServer(Handler(nil))
+	t.Cleanup(s.Close)
+	response, err := http.Post(s.URL, "application/json", nil)
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusBadRequest, response.StatusCode)
+	require.NoError(t, response.Body.Close())
+}
