Spare the service while it is out of reach

Change: a router that reads through others tries the service itself 0.9 s after a failed reading, and asks the others meanwhile, whom it no longer avoids then. The ledger pauses up to three seconds, since a mirror that regains the service wakes it, and refuses ops of others until its next try is due.

The test of histories used a clock that moved by a second with each reading, so that pauses after failed forwards were over at once. The test wakes the committers before each try instead, with a fixed clock. Nothing is checked less: as many ops end unknown or withdrawn.

--- a/internal/edge/defaults.go
+++ b/internal/edge/defaults.go
@@ -49,6 +49,9 @@
 	dutyTimeout = 1500 * time.Millisecond
 
 	ledgerPages = 1
+	// ledgerBackoff bounds the pauses of the ledger after failed calls. A mirror that
+	// regains the service ends them.
+	ledgerBackoff = 3 * time.Second
 	// shareHorizon is how long a share lasts at the present rate.
 	shareHorizon   = 9 * time.Second
 	walletInterval = time.Second
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -159,6 +159,8 @@
 		Clock:     s.Clock,
 		Log:       s.Log,
 		Timeout:   storeTimeout,
+
+		BackoffLimit: ledgerBackoff,
 	})
 	r.records = r.mirror(mirror.Settings{
 		Name: "routers", Prefix: membership.KeyPrefix, Interval: recordInterval, ReaderWait: recordInterval,
--- a/internal/ledger/committer/page.go
+++ b/internal/ledger/committer/page.go
@@ -365,14 +365,11 @@
 	p.unavailable = true
 }
 
-// refusalMemory is how long the ops of other routers are refused after a call
-// that did not succeed.
-const refusalMemory = time.Second
-
-// refusedLately reports whether the last call for p did not succeed a moment ago.
+// refusedLately reports whether the last call for p did not succeed and the next
+// may not have been made yet.
 func (c *Committer) refusedLately(p *page) bool {
 	at := p.refused.Load()
-	return at != 0 && c.settings.Clock().Sub(time.Unix(0, at)) < refusalMemory
+	return at != 0 && c.settings.Clock().Sub(time.Unix(0, at)) < c.settings.BackoffLimit
 }
 
 func (c *Committer) available(p *page) {
--- a/internal/ledger/committer/schedule_test.go
+++ b/internal/ledger/committer/schedule_test.go
@@ -112,7 +112,6 @@
 	next func(s *schedule, rng *rand.Rand, holder int, sequence *uint64) ledger.Op
 	// forward makes all committers but the first pass their ops to it.
 	forward bool
-	ticks   atomic.Int64
 	// segments is the number of segments that the page ends with.
 	segments int
 	// spoiled tells that a broken store has lost a segment.
@@ -141,7 +140,6 @@
 		}
 		if s.forward && len(cs) > 0 {
 			c.settings.Forward = &flakyOwner{owner: cs[0], rng: s.rand(uint64(10 + len(cs)))}
-			c.settings.Clock = s.hurry
 		}
 		cs = append(cs, c)
 	}
@@ -149,7 +147,7 @@
 	var faults, workers sync.WaitGroup
 	faults.Go(func() { s.disturb(clients, stop) })
 	for h := range holders {
-		workers.Go(func() { s.work(cs[h%committers], h) })
+		workers.Go(func() { s.work(cs, h) })
 	}
 	workers.Wait()
 	close(stop)
@@ -172,11 +170,6 @@
 	return p
 }
 
-// hurry is a clock on which the pause after a failed forward is over at once.
-func (s *schedule) hurry() time.Time {
-	return start.Add(time.Duration(s.ticks.Add(1)) * forwardPause)
-}
-
 // flakyOwner passes ops to the owner of a page and at random loses the ops or
 // the results.
 type flakyOwner struct {
@@ -251,14 +244,17 @@
 	}
 }
 
-func (s *schedule) work(c *Committer, holder int) {
+func (s *schedule) work(cs []*Committer, holder int) {
 	rng := s.rand(uint64(100 + holder))
 	sequence := uint64(0)
 	for range opsPerHolder {
 		op := s.next(s, rng, holder, &sequence)
 		// A holder sends its numbered ops one at a time and never gives up.
 		giveUp := op.Draw == nil && op.Return == nil
-		s.history.run(c, holder, op, giveUp, func() (context.Context, context.CancelFunc) {
+		s.history.run(cs[holder%committers], holder, op, giveUp, func() (context.Context, context.CancelFunc) {
+			for _, c := range cs {
+				c.Wake() // pauses after failed calls and forwards are over at once
+			}
 			return impatient(rng)
 		})
 		if !giveUp {
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -103,6 +103,7 @@
 	listed  bool
 	lost    bool
 	read    time.Time // when the service itself last confirmed the copy
+	failed  time.Time // when a reading of the service failed, if none has succeeded since
 	changed chan struct{}
 }
 
@@ -214,6 +215,10 @@
 			return true, nil
 		}
 	}
+	if listed && m.spares() {
+		return false, errSpared
+	}
+	defer func() { m.attempted(err) }()
 	ctx, cancel := context.WithTimeout(ctx, m.settings.Timeout+m.settings.Wait)
 	defer cancel()
 	if listed {
@@ -235,6 +240,33 @@
 	return false, nil
 }
 
+// sparing is how long a router that reads through others leaves the service alone
+// after a failed reading: the others learn of its return as soon.
+const sparing = 900 * time.Millisecond
+
+// errSpared reports that the service was not read, since it was out of reach.
+var errSpared = errors.New("out of reach a moment ago")
+
+// spares reports whether the service is left alone for now.
+func (m *Mirror) spares() bool {
+	if m.settings.Readers == nil || len(m.settings.Readers()) == 0 {
+		return false
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return !m.failed.IsZero() && m.settings.Clock().Sub(m.failed) < sparing
+}
+
+// attempted notes how a reading of the service ended.
+func (m *Mirror) attempted(err error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.failed = time.Time{}
+	if err != nil {
+		m.failed = m.settings.Clock()
+	}
+}
+
 // confirm notes that the service itself was read.
 func (m *Mirror) confirm() {
 	m.mu.Lock()
--- a/internal/mirror/relay.go
+++ b/internal/mirror/relay.go
@@ -39,6 +39,9 @@
 	if m.settings.Readers == nil {
 		return b, false
 	}
+	if m.Away() {
+		m.links.Forgive() // they may have regained the service since
+	}
 	for _, reader := range m.settings.Readers() {
 		if m.links.Avoids(reader) {
 			continue
--- a/internal/mirror/relay_test.go
+++ b/internal/mirror/relay_test.go
@@ -188,3 +188,22 @@
 	assert.True(t, ok)
 	assert.Len(t, events, 1)
 }
+
+// TestFollowerSparesTheServiceDuringAnOutage counts what a router reads that reads
+// through another one, and what that one reads, while both are cut off.
+func TestFollowerSparesTheServiceDuringAnOutage(t *testing.T) {
+	f := newFleet(t, 2)
+	reader, far := f.routers[0], f.routers[1]
+	reader.put(t, "a", "1")
+	far.becomes(t, "a", "1")
+	reader.source.away.Store(true)
+	far.source.away.Store(true)
+	require.Eventually(t, far.mirror.Away, 10*time.Second, time.Millisecond)
+	ofReader, ofFar := reader.source.readings.Load(), far.source.readings.Load()
+	require.Eventually(t, func() bool { return reader.source.readings.Load() > ofReader+50 }, 10*time.Second, time.Millisecond)
+	assert.Less(t, far.source.readings.Load(), ofFar+10, "readings of the service")
+	reader.source.away.Store(false)
+	reader.put(t, "a", "2")
+	far.becomes(t, "a", "2")
+	assert.Less(t, far.source.readings.Load(), ofFar+15, "the reader has told")
+}
