Drop deleted entries at once where another router saw the deletion

The router had lost the service for four seconds behind the bodies of a pressing customer. Once back, it kept the entry for the two seconds in which an entry that lapsed with the store may be written again.

Ruled out: the reading through others, which told all of them in half a second.

Change: a router that passes changes on tells which deletions it cannot judge itself, as it was cut off then; the others end the grace at once. A router that has regained the service asks once from before the deletions that it doubts. TestDeletionThatAnotherRouterSawHasNoGrace fails before: 1.0 s, its whole grace.

--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -104,6 +104,7 @@
 	lost    bool
 	read    time.Time // when the service itself last confirmed the copy
 	failed  time.Time // when a reading of the service failed, if none has succeeded since
+	asked   time.Time // the return of the service after which others were asked of deletions
 	changed chan struct{}
 }
 
@@ -210,8 +211,9 @@
 	from, listed := m.view.revision, m.listed
 	m.mu.Unlock()
 	if listed {
-		if b, ok := m.readThrough(ctx, from); ok {
+		if b, certain, ok := m.readThrough(ctx, from); ok {
 			m.take(b)
+			m.settle(certain)
 			return true, nil
 		}
 	}
@@ -284,6 +286,15 @@
 	}
 }
 
+// settle takes in the deletions that another router vouches for.
+func (m *Mirror) settle(certain []store.Event) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.view.settle(certain) {
+		m.notify()
+	}
+}
+
 func (m *Mirror) install(entries []store.Entry, r store.Revision) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/mirror/relay.go
+++ b/internal/mirror/relay.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"net/http"
+	"slices"
 	"time"
 
 	"example.org/lagoonfork/pkg/store"
@@ -31,13 +33,26 @@
 type passed struct {
 	Revision store.Revision `json:"revision"`
 	Changes  []store.Event  `json:"changes"`
+	// Doubtful are the keys of entries that may have lapsed while the passing
+	// router had lost the service.
+	Doubtful []string `json:"doubtful,omitempty"`
 }
 
-// readThrough reads the changes after a revision through another router. It is
-// not ok if none passes them on.
-func (m *Mirror) readThrough(ctx context.Context, from store.Revision) (b store.Batch, ok bool) {
+// certain returns the deletions that the passing router vouches for.
+func (p passed) certain() (deletions []store.Event) {
+	for _, e := range p.Changes {
+		if e.Deleted && !slices.Contains(p.Doubtful, e.Entry.Key) {
+			deletions = append(deletions, e)
+		}
+	}
+	return deletions
+}
+
+// readThrough reads the changes after a revision through another router, and which
+// deletions are certain. It is not ok if none passes them on.
+func (m *Mirror) readThrough(ctx context.Context, from store.Revision) (b store.Batch, certain []store.Event, ok bool) {
 	if m.settings.Readers == nil {
-		return b, false
+		return b, nil, false
 	}
 	if m.Away() {
 		m.links.Forgive() // they may have regained the service since
@@ -47,13 +62,30 @@
 			continue
 		}
 		var answer passed
-		q := question{After: from, WaitMillis: m.settings.ReaderWait.Milliseconds()}
+		q := question{After: m.after(from), WaitMillis: m.settings.ReaderWait.Milliseconds()}
 		if err := m.links.Post(ctx, reader, ChangesPath+m.settings.Name, q, &answer); err != nil {
-			return b, false
+			m.mu.Lock()
+			m.asked = time.Time{}
+			m.mu.Unlock()
+			return b, nil, false
 		}
-		return store.Batch{Revision: max(from, answer.Revision), Events: answer.Changes}, true
+		return store.Batch{Revision: max(from, answer.Revision), Events: answer.Changes}, answer.certain(), true
+	}
+	return b, nil, false
+}
+
+// after returns the revision after which another router is asked for changes. Once
+// after each return of the service that is before the deletions which this router
+// cannot judge.
+func (m *Mirror) after(from store.Revision) store.Revision {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	first, ok := m.view.doubtful()
+	if !ok || m.asked.Equal(m.view.regained) {
+		return from
 	}
-	return b, false
+	m.asked = m.view.regained
+	return min(from, first)
 }
 
 // Relay returns the handler that passes changes on to routers that read through
@@ -127,7 +159,7 @@
 		return passed{}, 0, m.changed
 	}
 	left = m.longestSilence() - m.settings.Clock().Sub(m.read)
-	return passed{Revision: m.view.revision, Changes: events}, left, m.changed
+	return passed{Revision: m.view.revision, Changes: events, Doubtful: slices.Collect(maps.Keys(m.view.missing))}, left, m.changed
 }
 
 // longestSilence is how long after a reading this router still passes it on.
--- a/internal/mirror/relay_test.go
+++ b/internal/mirror/relay_test.go
@@ -46,6 +46,7 @@
 	fixture
 	source *counted
 	server *httptest.Server
+	cut    atomic.Bool // off from the router that it reads through
 }
 
 // newFleet returns n routers. The first reads the service.
@@ -59,10 +60,16 @@
 		r.mirror = New(Settings{
 			Name: "test", Prefix: "k/", Source: r.source,
 			Interval: 20 * time.Millisecond, Timeout: time.Second, LostAfter: 500 * time.Millisecond, Grace: time.Second,
-			Peers:   func() []netip.AddrPort { return nil },
-			Readers: func() []netip.AddrPort { return through }, ReaderWait: 100 * time.Millisecond,
-			Same:  func(a, b []byte) bool { return bytes.Equal(a[:1], b[:1]) },
-			Clock: time.Now, Log: hclog.NewNullLogger(),
+			Peers: func() []netip.AddrPort { return nil },
+			Readers: func() []netip.AddrPort {
+				if r.cut.Load() {
+					return nil
+				}
+				return through
+			},
+			ReaderWait: 100 * time.Millisecond,
+			Same:       func(a, b []byte) bool { return bytes.Equal(a[:1], b[:1]) },
+			Clock:      time.Now, Log: hclog.NewNullLogger(),
 		})
 		mux := http.NewServeMux()
 		mux.Handle(ChangesPath+"test", r.mirror.Relay())
@@ -207,3 +214,31 @@
 	far.becomes(t, "a", "2")
 	assert.Less(t, far.source.readings.Load(), ofFar+15, "the reader has told")
 }
+
+// TestDeletionThatAnotherRouterSawHasNoGrace cuts one router off while an entry is
+// deleted, which it cannot tell from one that lapsed during an outage.
+func TestDeletionThatAnotherRouterSawHasNoGrace(t *testing.T) {
+	for _, first := range []string{"another router", "the service"} {
+		t.Run(first+" is reached first", func(t *testing.T) {
+			f := newFleet(t, 2)
+			reader, far := f.routers[0], f.routers[1]
+			reader.put(t, "a", "1")
+			far.becomes(t, "a", "1")
+			far.cut.Store(true)
+			far.source.away.Store(true)
+			require.Eventually(t, far.mirror.Away, 10*time.Second, time.Millisecond)
+			require.NoError(t, f.Client().Delete(t.Context(), "k/a", store.Always))
+			reader.becomes(t, "a", "")
+			if first == "the service" {
+				far.source.away.Store(false)
+				require.Eventually(t, func() bool { return !far.mirror.Away() }, 10*time.Second, time.Millisecond)
+				_, kept := far.mirror.Get("k/a")
+				require.True(t, kept, "it has a grace")
+			}
+			returned := time.Now()
+			far.cut.Store(false)
+			far.becomes(t, "a", "")
+			assert.Less(t, time.Since(returned), far.mirror.settings.Grace/2)
+		})
+	}
+}
--- a/internal/mirror/view.go
+++ b/internal/mirror/view.go
@@ -137,6 +137,29 @@
 	}
 }
 
+// settle drops the entries of deletions that another router vouches for: it was
+// in touch with the store when they happened, so their leases have not ended for
+// want of renewals.
+func (v *view) settle(deletions []store.Event) (changed bool) {
+	for _, e := range deletions {
+		if _, missing := v.missing[e.Entry.Key]; missing && v.entries[e.Entry.Key].Revision < e.Entry.Revision {
+			v.drop(e.Entry.Key)
+			changed = true
+		}
+	}
+	return changed
+}
+
+// doubtful returns the revision before the first deletion that has a grace.
+func (v *view) doubtful() (r store.Revision, ok bool) {
+	for key := range v.missing {
+		if d := v.deleted[key]; !ok || d.revision-1 < r {
+			r, ok = d.revision-1, true
+		}
+	}
+	return r, ok
+}
+
 func (v *view) drop(key string) {
 	delete(v.entries, key)
 	delete(v.missing, key)
