--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -206,21 +206,30 @@
 // readOnce takes in the changes since the last reading, or all entries. It
 // reports whether another router has passed them on.
 func (m *Mirror) readOnce(ctx context.Context) (passed bool, err error) {
-	defer func() { err = merry.Prepend(err, "reading the key-value service") }()
 	m.mu.Lock()
 	from, listed := m.view.revision, m.listed
 	m.mu.Unlock()
-	if listed {
-		if b, certain, ok := m.readThrough(ctx, from); ok {
-			m.take(b)
-			m.settle(certain)
-			return true, nil
-		}
+	if !listed {
+		return false, m.readService(ctx, from, listed)
+	}
+	if b, certain, ok := m.readThrough(ctx, from); ok {
+		m.take(b)
+		m.settle(certain)
+		return true, nil
 	}
-	if listed && m.spares() {
+	if m.spares() {
 		return false, errSpared
 	}
-	defer func() { m.attempted(err) }()
+	return false, m.readService(ctx, from, listed)
+}
+
+// readService takes in the changes after a revision from the service itself, or
+// all entries.
+func (m *Mirror) readService(ctx context.Context, from store.Revision, listed bool) (err error) {
+	defer func() {
+		err = merry.Prepend(err, "reading the key-value service")
+		m.attempted(err)
+	}()
 	ctx, cancel := context.WithTimeout(ctx, m.settings.Timeout+m.settings.Wait)
 	defer cancel()
 	if listed {
@@ -230,16 +239,16 @@
 				m.confirm()
 				m.take(b)
 			}
-			return false, err
+			return err
 		}
 	}
 	entries, r, err := m.settings.Source.List(ctx, m.settings.Prefix)
 	if err != nil {
-		return false, err
+		return err
 	}
 	m.confirm()
 	m.install(entries, r)
-	return false, nil
+	return nil
 }
 
 // sparing is how long a router that reads through others leaves the service alone
@@ -247,7 +256,7 @@
 const sparing = 900 * time.Millisecond
 
 // errSpared reports that the service was not read, since it was out of reach.
-var errSpared = errors.New("out of reach a moment ago")
+var errSpared = errors.New("the key-value service was out of reach a moment ago")
 
 // spares reports whether the service is left alone for now.
 func (m *Mirror) spares() bool {
--- a/internal/mirror/relay.go
+++ b/internal/mirror/relay.go
@@ -64,9 +64,7 @@
 		var answer passed
 		q := question{After: m.after(from), WaitMillis: m.settings.ReaderWait.Milliseconds()}
 		if err := m.links.Post(ctx, reader, ChangesPath+m.settings.Name, q, &answer); err != nil {
-			m.mu.Lock()
-			m.asked = time.Time{}
-			m.mu.Unlock()
+			m.askAgain()
 			return b, nil, false
 		}
 		return store.Batch{Revision: max(from, answer.Revision), Events: answer.Changes}, answer.certain(), true
@@ -88,6 +86,14 @@
 	return min(from, first)
 }
 
+// askAgain has other routers asked of doubtful deletions once more, as the last
+// question was not answered.
+func (m *Mirror) askAgain() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.asked = time.Time{}
+}
+
 // Relay returns the handler that passes changes on to routers that read through
 // this one. It refuses unless this router itself has read the service lately.
 func (m *Mirror) Relay() http.Handler {
