Answer calls of duties in one place, and test duties where they are

Found by reading the change once more. The owner of a page and the writer of the quarantine each mapped errors to statuses: duty.Answer does so for both. A mirror noted the outcome of a reading twice: confirm now also ends the time in which the service is spared.

--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -227,8 +227,10 @@
 // all entries.
 func (m *Mirror) readService(ctx context.Context, from store.Revision, listed bool) (err error) {
 	defer func() {
-		err = merry.Prepend(err, "reading the key-value service")
-		m.attempted(err)
+		if err != nil {
+			err = merry.Prepend(err, "reading the key-value service")
+			m.miss()
+		}
 	}()
 	ctx, cancel := context.WithTimeout(ctx, m.settings.Timeout+m.settings.Wait)
 	defer cancel()
@@ -268,21 +270,18 @@
 	return !m.failed.IsZero() && m.settings.Clock().Sub(m.failed) < sparing
 }
 
-// attempted notes how a reading of the service ended.
-func (m *Mirror) attempted(err error) {
+// confirm notes that the service itself was read.
+func (m *Mirror) confirm() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.failed = time.Time{}
-	if err != nil {
-		m.failed = m.settings.Clock()
-	}
+	m.read, m.failed = m.settings.Clock(), time.Time{}
 }
 
-// confirm notes that the service itself was read.
-func (m *Mirror) confirm() {
+// miss notes that a reading of the service failed.
+func (m *Mirror) miss() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.read = m.settings.Clock()
+	m.failed = m.settings.Clock()
 }
 
 func (m *Mirror) take(b store.Batch) {
--- a/internal/pageowner/handler.go
+++ b/internal/pageowner/handler.go
@@ -7,6 +7,7 @@
 
 	"goji.io/pat"
 
+	"example.org/lagoonfork/internal/duty"
 	"example.org/lagoonfork/internal/ledger"
 )
 
@@ -27,11 +28,6 @@
 			return
 		}
 		results, err := l.ApplyLocal(r.Context(), page, ops)
-		if err != nil {
-			w.WriteHeader(status(err))
-			return
-		}
-		w.Header().Set("Content-Type", "application/json")
-		_ = json.NewEncoder(w).Encode(results) // the sender repeats ops without results
+		duty.Answer(w, results, err)
 	})
 }
--- a/internal/pageowner/pageowner.go
+++ b/internal/pageowner/pageowner.go
@@ -16,7 +16,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net/http"
 	"strconv"
 	"time"
 
@@ -27,7 +26,6 @@
 	"example.org/lagoonfork/internal/ledger/committer"
 	"example.org/lagoonfork/internal/membership"
 	"example.org/lagoonfork/pkg/ident"
-	"example.org/lagoonfork/pkg/store"
 )
 
 // Path begins the path of the call to an owner; the number of the page follows.
@@ -80,11 +78,3 @@
 type Ledger interface {
 	ApplyLocal(ctx context.Context, page int, ops []ledger.Op) ([]ledger.Result, error)
 }
-
-// status returns the status that tells what became of ops that failed with err.
-func status(err error) int {
-	if errors.Is(err, store.ErrUnavailable) {
-		return http.StatusServiceUnavailable
-	}
-	return http.StatusGatewayTimeout
-}
--- a/internal/pageowner/pageowner_test.go
+++ b/internal/pageowner/pageowner_test.go
@@ -96,25 +96,3 @@
 	_, err := o.Apply(t.Context(), 0, ops)
 	require.ErrorIs(t, err, store.ErrUnavailable)
 }
-
-// TestNextIsAskedOnceTheOwnerRefuses has an owner that the key-value service
-// refuses, and one that it serves.
-func TestNextIsAskedOnceTheOwnerRefuses(t *testing.T) {
-	refusing := membership.Record{VM: "first", Capacity: 3, Address: server(t, answering{err: store.ErrUnavailable})}
-	silent := membership.Record{VM: "first", Capacity: 3, Address: server(t, answering{err: store.ErrUnknown})}
-	writing := membership.Record{VM: "second", Capacity: 2, Address: server(t, answering{})}
-	last := membership.Record{VM: "last", Capacity: 1}
-
-	results, err := owner(t, "last", refusing, writing, last).Apply(t.Context(), 0, ops)
-	require.NoError(t, err)
-	assert.Len(t, results, len(ops))
-
-	_, err = owner(t, "second", refusing, writing, last).Apply(t.Context(), 0, ops)
-	require.ErrorIs(t, err, committer.ErrOwner, "it is the next itself")
-
-	o := owner(t, "last", silent, writing, last)
-	_, err = o.Apply(t.Context(), 0, ops)
-	require.ErrorIs(t, err, store.ErrUnknown, "the ops may have been applied")
-	_, err = o.Apply(t.Context(), 0, ops)
-	require.NoError(t, err, "the owner is avoided")
-}
--- a/internal/quarantine/writer/writer.go
+++ b/internal/quarantine/writer/writer.go
@@ -11,13 +11,12 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"net/http"
 
 	"github.com/ansel1/merry/v2"
 
+	"example.org/lagoonfork/internal/duty"
 	"example.org/lagoonfork/internal/quarantine"
-	"example.org/lagoonfork/pkg/store"
 )
 
 // Path is the path of the call that has changes written.
@@ -65,15 +64,6 @@
 			http.Error(w, "the changes cannot be read", http.StatusBadRequest)
 			return
 		}
-		err := k.Write(r.Context(), changes)
-		switch {
-		case errors.Is(err, store.ErrUnavailable):
-			w.WriteHeader(http.StatusServiceUnavailable)
-		case err != nil:
-			w.WriteHeader(http.StatusGatewayTimeout)
-		default:
-			w.Header().Set("Content-Type", "application/json")
-			_, _ = w.Write([]byte("{}")) // the sender repeats changes without an answer
-		}
+		duty.Answer(w, struct{}{}, k.Write(r.Context(), changes))
 	})
 }
