Log and count readings from a relay that fail, and what had arrived

Event 811 and the errors of 801 and 804 now say when the response began and how many bytes had arrived; 805 has the size and the time of installing; metrics count readings, failures and discarded bytes by source. No logic is changed.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -305,6 +305,7 @@
 // install applies the configuration and the upstreams that the mirrors hold. It
 // ignores a configuration whose revision is not above the installed one.
 func (r *Router) install() {
+	start := r.settings.Clock()
 	upstreams, unreadable := r.settings.Translator.Upstreams(r.upstreams.Entries())
 	for key, err := range unreadable {
 		event.UpstreamUnreadable.Debug(r.settings.Log, "key", key, "error", err)
@@ -323,12 +324,21 @@
 	table.BuildIndex()
 	r.table.Store(table)
 	event.RoutesInstalled.Info(r.settings.Log, "revision", table.Revision, "routes", len(table.Routes),
-		"services", len(table.Services), "customers", len(table.Customers))
+		"services", len(table.Services), "customers", len(table.Customers),
+		"bytes", totalSize(entries), "took", r.settings.Clock().Sub(start))
 	if before == nil {
 		event.EdgeReady.Info(r.settings.Log, "revision", table.Revision)
 	}
 }
 
+// totalSize returns the number of bytes of the values of entries.
+func totalSize(entries []store.Entry) (n int) {
+	for _, e := range entries {
+		n += len(e.Value)
+	}
+	return n
+}
+
 // RouterCount returns the number of known routers, including this one.
 func (r *Router) RouterCount() int {
 	return max(r.routerRecords.Len(), 1)
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -30,6 +30,7 @@
 			age, _ := m.Age(r.settings.Clock())
 			return age.Milliseconds()
 		})
+		r.metrics.Add(name+"Reads", m.ReadMetrics())
 	}
 }
 
--- a/internal/event/store.go
+++ b/internal/event/store.go
@@ -11,7 +11,7 @@
 	MirrorNotFetched = define(804, "copy not fetched",
 		"Another router did not provide its copy. Fields: peer, error.")
 	RoutesInstalled = define(805, "routes installed",
-		"A revision of the routes is in force. Fields: revision, routes, services, customers.")
+		"A revision of the routes is in force. Fields: revision, routes, services, customers, bytes (of the configuration), took (decoding and installing).")
 	RoutesUnreadable = define(806, "routes unreadable",
 		"The configuration in the service cannot be read. The configuration in force stays. Fields: error.")
 	UpstreamListed = define(807, "upstream listed",
@@ -22,4 +22,6 @@
 		"A record of an upstream does not describe a usable upstream. Fields: key, error.")
 	PresenceFailed = define(810, "presence not announced",
 		"The record of this router could not be written or renewed; the operation is retried. Fields: error.")
+	RelayFailed = define(811, "relay failed",
+		"The router through which this router reads the service did not respond, refused, or its response did not arrive in time. The service or another router is read instead. Fields: mirror, relay, revision (already held), error (which says how much had arrived).")
 )
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -45,6 +45,7 @@
 	"example.org/lagoonfork/internal/event"
 	"example.org/lagoonfork/internal/outage"
 	"example.org/lagoonfork/internal/peerlink"
+	"example.org/lagoonfork/internal/transfer"
 	"example.org/lagoonfork/pkg/store"
 )
 
@@ -113,6 +114,7 @@
 	tomb              tomb.Tomb
 	relayStopped      chan struct{}
 	bootstrapAttempts int // remaining; accessed only by the run goroutine
+	metrics           metrics
 
 	mu                  sync.Mutex
 	view                view
@@ -249,6 +251,8 @@
 	wait := m.pollWait()
 	readCtx, cancel := context.WithTimeout(ctx, m.settings.Timeout+wait)
 	defer cancel()
+	readCtx, t := transfer.Start(readCtx, m.settings.Clock)
+	defer func() { err = m.metrics.record(sourceService, t, err) }()
 	if initialized {
 		b, err := m.settings.Source.Changes(readCtx, m.settings.Prefix, from, wait)
 		if !errors.Is(err, store.ErrCompacted) {
--- a/internal/mirror/peer.go
+++ b/internal/mirror/peer.go
@@ -16,6 +16,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"example.org/lagoonfork/internal/event"
+	"example.org/lagoonfork/internal/transfer"
 	"example.org/lagoonfork/pkg/store"
 )
 
@@ -150,6 +151,8 @@
 	defer func() { err = merry.Prependf(err, "fetching the copy of %s", peer) }()
 	ctx, cancel := context.WithTimeout(ctx, m.settings.Timeout)
 	defer cancel()
+	ctx, t := transfer.Start(ctx, m.settings.Clock)
+	defer func() { err = m.metrics.record(sourcePeer, t, err) }()
 	m.mu.Lock()
 	after := m.view.revision
 	m.mu.Unlock()
@@ -166,7 +169,7 @@
 	case http.StatusNoContent:
 		return s, nil
 	case http.StatusOK:
-		err = json.NewDecoder(io.LimitReader(response.Body, maxSnapshotBytes)).Decode(&s)
+		err = json.NewDecoder(transfer.Reader(ctx, io.LimitReader(response.Body, maxSnapshotBytes))).Decode(&s)
 		return s, err
 	}
 	return s, merry.Errorf("status %d", response.StatusCode)
--- a/internal/mirror/relay.go
+++ b/internal/mirror/relay.go
@@ -8,6 +8,8 @@
 	"slices"
 	"time"
 
+	"example.org/lagoonfork/internal/event"
+	"example.org/lagoonfork/internal/transfer"
 	"example.org/lagoonfork/pkg/store"
 )
 
@@ -65,7 +67,10 @@
 		}
 		var response changesResponse
 		request := changesRequest{After: m.relayRevision(from), WaitMillis: m.settings.RelayWait.Milliseconds()}
-		if err := m.relayLinks.Post(ctx, relay, ChangesPath+m.settings.Name, request, &response); err != nil {
+		relayCtx, t := transfer.Start(ctx, m.settings.Clock)
+		err := m.relayLinks.Post(relayCtx, relay, ChangesPath+m.settings.Name, request, &response)
+		if err = m.metrics.record(sourceRelay, t, err); err != nil {
+			event.RelayFailed.Info(m.settings.Log, "mirror", m.settings.Name, "relay", relay, "revision", from, "error", err)
 			m.recheckDeletions()
 			return false
 		}
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -23,6 +23,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"example.org/lagoonfork/internal/transfer"
 	"example.org/lagoonfork/internal/transport"
 	"example.org/lagoonfork/pkg/store"
 )
@@ -148,7 +149,7 @@
 		return merry.Prepend(store.ErrUnavailable, err.Error())
 	}
 	defer func() { _ = response.Body.Close() }() // the body was read
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	data, err := io.ReadAll(transfer.Reader(ctx, io.LimitReader(response.Body, maxResponseBytes)))
 	switch {
 	case err != nil:
 		return merry.Prepend(store.ErrUnknown, err.Error())
