--- /dev/null
+++ b/internal/mirror/slow_test.go
@@ -0,0 +1,104 @@
+package mirror
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"example.org/lagoonfork/internal/fake/keyvalue"
+	"example.org/lagoonfork/internal/fake/slowlink"
+)
+
+// slowLinkBandwidth is in bytes per second. At this rate a table of routes takes several
+// times as long as a read of a small value may take.
+const slowLinkBandwidth = 256 << 10
+
+// slowFleet is a router that reads through a relay over a slow link, and cannot reach the
+// service.
+type slowFleet struct {
+	relay, downstream fixture
+	link              *slowlink.Listener
+}
+
+func newSlowFleet(t *testing.T) *slowFleet {
+	service := keyvalue.New(keyvalue.Settings{Seed: 1})
+	f := &slowFleet{relay: newFixture(t, service)}
+	mux := http.NewServeMux()
+	mux.Handle(ChangesPath+"test", f.relay.mirror.ChangesHandler())
+	mux.Handle(SnapshotPath+"test", f.relay.mirror)
+	server := httptest.NewUnstartedServer(mux)
+	f.link = slowlink.New(server.Listener, slowLinkBandwidth)
+	server.Listener = f.link
+	server.Start()
+	t.Cleanup(server.Close)
+	address := netip.MustParseAddrPort(server.Listener.Addr().String())
+	f.downstream = fixture{service: service, source: &source{Client: service.Client()}}
+	f.downstream.mirror = New(Settings{
+		Name: "test", Prefix: "k/", Source: f.downstream.source,
+		Interval: 20 * time.Millisecond, Timeout: 200 * time.Millisecond, UnavailableAfter: 500 * time.Millisecond, GracePeriod: time.Second,
+		Peers:     func() []netip.AddrPort { return nil },
+		Relays:    func() []netip.AddrPort { return []netip.AddrPort{address} },
+		RelayWait: 100 * time.Millisecond,
+		Clock:     time.Now, Log: hclog.NewNullLogger(),
+	})
+	t.Cleanup(func() { require.NoError(t, f.downstream.mirror.Close()) })
+	f.relay.put(t, "small", "1")
+	f.downstream.waitFor(t, "small", "1")
+	f.downstream.source.unavailable.Store(true)
+	return f
+}
+
+// replicate writes a value and waits until it has arrived downstream.
+func (f *slowFleet) replicate(t *testing.T, value []byte) {
+	f.relay.put(t, "a", string(value))
+	require.Eventually(t, func() bool {
+		e, ok := f.downstream.mirror.Get("k/a")
+		return ok && bytes.Equal(value, e.Value)
+	}, 10*time.Second, time.Millisecond, "%d bytes", len(value))
+}
+
+// newRoutes returns a table of n routes with random names.
+func newRoutes(n int) []byte {
+	random := rand.New(rand.NewPCG(1, 2))
+	var b bytes.Buffer
+	for range n {
+		fmt.Fprintf(&b, `{"name":"r-%07x","host":"%06x.example","prefix":"/%07x/","kind":"stream","timeoutMs":4000,"goalMs":400,"service":"%08x","attempts":2},`,
+			random.Uint32(), random.Uint32(), random.Uint32(), random.Uint32())
+	}
+	return b.Bytes()
+}
+
+// TestLargeValueArrivesOverSlowLink guards against a read that is cut off and started
+// anew for ever because the value takes longer than the read may take.
+func TestLargeValueArrivesOverSlowLink(t *testing.T) {
+	f := newSlowFleet(t)
+	value := make([]byte, slowLinkBandwidth)
+	for i := range value {
+		value[i] = byte(rand.Uint32())
+	}
+	f.replicate(t, value)
+}
+
+// TestSmallChangeOfLargeValueIsSmallOnTheWire guards against sending the whole value for
+// each change of a part.
+func TestSmallChangeOfLargeValueIsSmallOnTheWire(t *testing.T) {
+	f := newSlowFleet(t)
+	routes := newRoutes(1800)
+	f.replicate(t, routes)
+	for i := range 3 {
+		copy(routes[len(routes)/2:], fmt.Sprintf("%07x", i))
+		routes = append(routes, newRoutes(1)...)
+		before := f.link.Sent()
+		f.replicate(t, routes)
+		assert.Less(t, f.link.Sent()-before, int64(len(routes)/20))
+	}
+}
