Bound a response by what arrives of it, not by a fixed time

Each reading of the configuration had 0.6 s, whatever its size; on a link of 10 Mbit/s that callers use too, the 418 KB did not arrive in that time, what had arrived was thrown away, and the next reading started anew (readings cut off had 262 to 623 KB in the median).

So a large response takes as long as it needs, and one that drips, stalls or has no end is cut off. It replaces the timeout of all calls to the store and to other routers, and that of copies at the start, which had 0.1 s.

TestLargeValueIsReadOverSlowLink failed before: reading the list ended with 'context deadline exceeded'.

--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -67,7 +67,8 @@
 	// Name identifies the mirror within the router. Prefix selects the keys that it
 	// holds.
 	Name, Prefix string
-	// Interval is the time between two reads. Timeout bounds each read.
+	// Interval is the time between two reads. Timeout bounds each read. The response to
+	// a read that is large may take longer; see transfer.Limit.
 	Interval, Timeout time.Duration
 	// PollWait is how long a read of the service waits for changes (long poll). The next
 	// read begins no sooner than Interval after the previous one began. It suits
@@ -249,9 +250,8 @@
 		}
 	}()
 	wait := m.pollWait()
-	readCtx, cancel := context.WithTimeout(ctx, m.settings.Timeout+wait)
-	defer cancel()
-	readCtx, t := transfer.Start(readCtx, m.settings.Clock)
+	readCtx, t, stop := transfer.Limit{Begin: m.settings.Timeout + wait}.Start(ctx, m.settings.Clock)
+	defer stop()
 	defer func() { err = m.metrics.record(sourceService, t, err) }()
 	if initialized {
 		b, err := m.settings.Source.Changes(readCtx, m.settings.Prefix, from, wait)
--- a/internal/mirror/peer.go
+++ b/internal/mirror/peer.go
@@ -34,8 +34,9 @@
 	// startup. A starting router has listed the service after some tens of
 	// milliseconds.
 	bootstrapRetryInterval = 50 * time.Millisecond
-	// bootstrapFetchTimeout bounds one such request and bootstrapTimeout all of
-	// them, because a router that is itself starting does not respond.
+	// bootstrapFetchTimeout is how long one such request may wait for the response to
+	// begin, and bootstrapTimeout how long requests are made, because a router that is
+	// itself starting does not respond.
 	bootstrapFetchTimeout = 100 * time.Millisecond
 	bootstrapTimeout      = 250 * time.Millisecond
 	// maxPeerHeaderBytes is the maximum size of the response header of a copy.
@@ -86,13 +87,11 @@
 // start together do not all list the service. The copy must carry a valid age: an
 // older one could bring back entries that were deleted while this router was down.
 func (m *Mirror) bootstrap(ctx context.Context) (ok bool) {
-	ctx, cancel := context.WithTimeout(ctx, bootstrapTimeout)
+	roundsCtx, cancel := context.WithTimeout(ctx, bootstrapTimeout)
 	defer cancel()
-	for ; m.bootstrapAttempts > 0 && ctx.Err() == nil; m.bootstrapAttempts-- {
+	for ; m.bootstrapAttempts > 0 && roundsCtx.Err() == nil; m.bootstrapAttempts-- {
 		for _, p := range m.bootstrapPeers() {
-			fetchCtx, cancelFetch := context.WithTimeout(ctx, bootstrapFetchTimeout)
-			s, err := m.fetch(fetchCtx, p)
-			cancelFetch()
+			s, err := m.fetch(ctx, p, bootstrapFetchTimeout)
 			if err == nil && s.Revision > 0 && s.AgeMillis >= 0 {
 				m.adoptSnapshot(s, p)
 				m.recordServiceRead(m.settings.Clock().Add(-time.Duration(s.AgeMillis) * time.Millisecond))
@@ -102,7 +101,7 @@
 		}
 		select {
 		case <-time.After(bootstrapRetryInterval):
-		case <-ctx.Done():
+		case <-roundsCtx.Done():
 			return false
 		}
 	}
@@ -133,7 +132,7 @@
 	for _, p := range peers {
 		go func() {
 			defer func() { done <- struct{}{} }()
-			s, err := m.fetch(ctx, p)
+			s, err := m.fetch(ctx, p, m.settings.Timeout)
 			if err != nil {
 				event.MirrorNotFetched.Info(m.settings.Log, "mirror", m.settings.Name, "peer", p, "error", err)
 				return
@@ -146,12 +145,11 @@
 	}
 }
 
-// fetch requests the copy of one router.
-func (m *Mirror) fetch(ctx context.Context, peer netip.AddrPort) (s snapshot, err error) {
+// fetch requests the copy of one router, whose response has to begin within the timeout.
+func (m *Mirror) fetch(ctx context.Context, peer netip.AddrPort, timeout time.Duration) (s snapshot, err error) {
 	defer func() { err = merry.Prependf(err, "fetching the copy of %s", peer) }()
-	ctx, cancel := context.WithTimeout(ctx, m.settings.Timeout)
-	defer cancel()
-	ctx, t := transfer.Start(ctx, m.settings.Clock)
+	ctx, t, stop := transfer.Limit{Begin: timeout}.Start(ctx, m.settings.Clock)
+	defer stop()
 	defer func() { err = m.metrics.record(sourcePeer, t, err) }()
 	m.mu.Lock()
 	after := m.view.revision
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -39,7 +39,7 @@
 
 // Settings configures Links. All fields are required.
 type Settings struct {
-	// Timeout bounds one call.
+	// Timeout bounds one call. A large response may take longer; see transfer.Limit.
 	Timeout time.Duration
 	Clock   func() time.Time
 }
@@ -82,8 +82,8 @@
 	if p == nil {
 		return merry.Prepend(store.ErrUnavailable, "peer is in backoff after a failed call")
 	}
-	ctx, cancel := context.WithTimeout(ctx, l.settings.Timeout)
-	defer cancel()
+	ctx, _, stop := transfer.Limit{Begin: l.settings.Timeout}.Start(ctx, l.settings.Clock)
+	defer stop()
 	if err = post(ctx, p.transport, "http://"+address.String()+path, payload, result); err != nil {
 		l.StartBackoff(address)
 	}
--- a/internal/transfer/transfer.go
+++ b/internal/transfer/transfer.go
@@ -1,11 +1,18 @@
-// Package transfer tracks how far the response to a call has arrived.
+// Package transfer tracks how far the response to a call has arrived, and bounds how long
+// it may take by what has arrived.
+//
+// A fixed time limit fails each time once responses have grown too large for the link,
+// and each repeat starts anew. A Limit instead cuts off a response that does not begin,
+// stalls or is too slow.
 //
 // The caller starts a Transfer and makes the call with its context. The client that
-// reads the response reads its body through Reader, once it has the header.
+// reads the response reads its body through Reader, once it has the header. Transfers
+// may be nested.
 //
 // # Usage
 //
-//	ctx, t := transfer.Start(ctx, time.Now)
+//	ctx, t, stop := transfer.Limit{Begin: time.Second}.Start(ctx, time.Now)
+//	defer stop()
 //	response, err := client.Do(request.WithContext(ctx))
 //	...
 //	data, err := io.ReadAll(transfer.Reader(ctx, response.Body))
@@ -25,19 +32,27 @@
 
 // Transfer is the progress of one response. Its methods are safe for concurrent use.
 type Transfer struct {
-	clock func() time.Time
-	start time.Time
+	clock  func() time.Time
+	start  time.Time
+	parent *Transfer // of the calling function, or nil
 
 	mu       sync.Mutex
 	begun    time.Time // arrival of the header, or zero
 	received int64     // bytes of the body
+	limit    Limit
+	timer    *time.Timer // ends the transfer; nil if there is no limit
 }
 
 type contextKey struct{}
 
+// maxReadSize is the most bytes read at a time. A body in chunks fills the buffer of a
+// read before the read returns.
+const maxReadSize = 4 << 10
+
 // Start starts to track the response to a call that is made with the returned context.
 func Start(ctx context.Context, clock func() time.Time) (context.Context, *Transfer) {
-	t := &Transfer{clock: clock, start: clock()}
+	parent, _ := ctx.Value(contextKey{}).(*Transfer)
+	t := &Transfer{clock: clock, start: clock(), parent: parent}
 	return context.WithValue(ctx, contextKey{}, t), t
 }
 
@@ -59,19 +74,27 @@
 
 // Read implements io.Reader.
 func (r *reader) Read(b []byte) (n int, err error) {
-	n, err = r.body.Read(b)
+	n, err = r.body.Read(b[:min(len(b), maxReadSize)])
 	r.transfer.record(n)
 	return n, err
 }
 
 // record records that the header and n more bytes of the body have arrived.
 func (t *Transfer) record(n int) {
+	if t == nil {
+		return
+	}
+	t.parent.record(n)
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	now := t.clock()
 	if t.begun.IsZero() {
-		t.begun = t.clock()
+		t.begun = now
 	}
 	t.received += int64(n)
+	if t.timer != nil && t.timer.Stop() {
+		t.timer.Reset(t.limit.left(now.Sub(t.start), t.received))
+	}
 }
 
 // Received returns the number of bytes of the body that have arrived.
