Routers send each other what has changed in a large value

Each change of the configuration, one top-up of one customer too, was sent as the whole configuration (313 KB, 418 KB as base64 in JSON) to each of 77 routers, over links of 10 Mbit/s that callers use too. So a change reached the last routers seconds after the first, and the first of each failure domain sent some ten megabytes for it.

A router now names the versions of the large entries that it holds, and gets their deltas, Zstandard frames whose dictionary is the version before: 70 bytes for a route that is added to 2,000. A value of which it holds no known version comes compressed, to a sixth. The router that reads the service encodes each change once; the others keep the deltas that they get and pass them on. Revisions and the frame's checksum reject deltas for another value; the service is read then.

--- a/internal/mirror/chain_test.go
+++ b/internal/mirror/chain_test.go
@@ -43,7 +43,7 @@
 	require.Eventually(t, func() bool { return last.source.reads.Load() > before }, 10*time.Second, time.Millisecond,
 		"the last router falls back to the service")
 	for _, r := range []*testRouter{middle, last} {
-		_, validFor, _ := r.mirror.changesSince(0)
+		_, validFor, _ := r.mirror.changesSince(0, nil)
 		assert.LessOrEqual(t, validFor, r.mirror.maxRelayAge())
 	}
 	last.source.unavailable.Store(false)
@@ -104,7 +104,7 @@
 	downstream.waitFor(t, "a", "1")
 	relay.source.unavailable.Store(true)
 	require.Eventually(t, func() bool {
-		_, validFor, _ := relay.mirror.changesSince(0)
+		_, validFor, _ := relay.mirror.changesSince(0, nil)
 		return validFor <= 0
 	}, 10*time.Second, time.Millisecond)
 	relay.mirror.mu.Lock()
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -7,6 +7,9 @@
 // other routers. Copies are ordered by revision, and a mirror never replaces its copy
 // by an older one.
 //
+// Routers send each other the values of large entries as deltas from the version that
+// the other one holds, or compressed if there is none.
+//
 // In a large fleet most routers read through a relay: another router that reads the
 // service, or reads through a further relay, and forwards each change as soon as it
 // has read it. Each response carries the time since the service itself was last
@@ -36,6 +39,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -43,6 +47,7 @@
 	"gopkg.in/tomb.v2"
 
 	"example.org/lagoonfork/internal/event"
+	"example.org/lagoonfork/internal/history"
 	"example.org/lagoonfork/internal/outage"
 	"example.org/lagoonfork/internal/peerlink"
 	"example.org/lagoonfork/internal/transfer"
@@ -116,9 +121,11 @@
 	relayStopped      chan struct{}
 	bootstrapAttempts int // remaining; accessed only by the run goroutine
 	metrics           metrics
+	relaying          atomic.Bool // whether another router has read through this one
 
 	mu                  sync.Mutex
 	view                view
+	history             history.History // of large entries
 	initialized         bool
 	lastReadFailed      bool
 	serviceReadAt       time.Time // last read of the service itself; zero after a failed read
@@ -258,6 +265,7 @@
 		if !errors.Is(err, store.ErrCompacted) {
 			if err == nil {
 				m.recordServiceRead(m.settings.Clock())
+				m.addDeltas(b)
 				m.applyBatch(b)
 			}
 			return err
--- /dev/null
+++ b/internal/mirror/pack.go
@@ -0,0 +1,145 @@
+package mirror
+
+import (
+	"github.com/ansel1/merry/v2"
+
+	"example.org/lagoonfork/internal/delta"
+	"example.org/lagoonfork/pkg/store"
+)
+
+const (
+	// minLargeValue is the size in bytes from which routers send each other a value as
+	// deltas. A smaller value fits into a few packets.
+	minLargeValue = 4 << 10
+	// maxHeld is how many large entries a request names. The others are sent whole.
+	maxHeld = 8
+)
+
+// largeEntries returns the revisions of the large entries that this router holds, by key.
+func (m *Mirror) largeEntries() map[string]store.Revision {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	held := make(map[string]store.Revision)
+	for key, e := range m.view.entries {
+		if len(e.Value) >= minLargeValue && len(held) < maxHeld {
+			held[key] = e.Revision
+		}
+	}
+	return held
+}
+
+// addDeltas adds the changes of large entries that were read from the service to the
+// history, if other routers read through this one. It must be called before the batch is
+// applied.
+func (m *Mirror) addDeltas(b store.Batch) {
+	if !m.relaying.Load() {
+		return
+	}
+	newest := make(map[string]store.Entry)
+	for _, e := range b.Events {
+		key := e.Entry.Key
+		before, ok := newest[key]
+		if !ok {
+			before, _ = m.Get(key)
+		}
+		newest[key] = e.Entry
+		if e.Deleted || len(e.Entry.Value) < minLargeValue || len(before.Value) == 0 || e.Entry.Revision <= before.Revision {
+			continue
+		}
+		d, err := delta.New(before, e.Entry)
+		if err != nil {
+			continue // the value is sent whole
+		}
+		m.mu.Lock()
+		m.history.Add(key, d)
+		m.mu.Unlock()
+	}
+}
+
+// packChanges replaces the large values of events by the deltas that it returns.
+// The caller holds m.mu.
+func (m *Mirror) packChanges(events []store.Event, held map[string]store.Revision) map[string][]delta.Delta {
+	entries := make([]*store.Entry, 0, len(events))
+	for i := range events {
+		entries = append(entries, &events[i].Entry)
+	}
+	return m.pack(entries, held)
+}
+
+// pack replaces the large values of entries by the deltas that it returns, by key. They
+// lead from the versions that the requester holds, which is nil if it cannot apply deltas.
+// The caller holds m.mu.
+func (m *Mirror) pack(entries []*store.Entry, held map[string]store.Revision) map[string][]delta.Delta {
+	if held == nil {
+		return nil
+	}
+	packed := make(map[string][]delta.Delta)
+	for _, e := range entries {
+		if len(e.Value) < minLargeValue {
+			continue
+		}
+		deltas, err := m.history.Since(*e, held[e.Key])
+		if err != nil {
+			continue // the value is sent whole
+		}
+		packed[e.Key], e.Value = deltas, nil
+	}
+	return packed
+}
+
+// unpackChanges sets the values of the events of a response that come as deltas.
+func (m *Mirror) unpackChanges(r changesResponse) error {
+	entries := make([]*store.Entry, 0, len(r.Changes))
+	for i := range r.Changes {
+		if !r.Changes[i].Deleted {
+			entries = append(entries, &r.Changes[i].Entry)
+		}
+	}
+	return m.unpack(entries, r.Deltas)
+}
+
+// unpack sets the values of the entries that come as deltas, and keeps the deltas for the
+// routers that read through this one.
+func (m *Mirror) unpack(entries []*store.Entry, packed map[string][]delta.Delta) error {
+	for _, e := range entries {
+		deltas, ok := packed[e.Key]
+		if !ok {
+			continue
+		}
+		version := store.Entry{Key: e.Key}
+		if len(deltas) > 0 && deltas[0].From != 0 {
+			version, _ = m.Get(e.Key)
+		}
+		for _, d := range deltas {
+			var err error
+			if version, err = d.Apply(version); err != nil {
+				return err
+			}
+		}
+		if version.Revision != e.Revision {
+			return merry.Errorf("deltas of %s: they lead to revision %d, not %d", e.Key, version.Revision, e.Revision)
+		}
+		e.Value = version.Value
+		m.keepDeltas(e.Key, deltas)
+	}
+	return nil
+}
+
+// keepDeltas adds deltas to the history, unless they begin at nothing.
+func (m *Mirror) keepDeltas(key string, deltas []delta.Delta) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, d := range deltas {
+		if d.From != 0 {
+			m.history.Add(key, d)
+		}
+	}
+}
+
+// pointers returns pointers to the elements of entries.
+func pointers(entries []store.Entry) (all []*store.Entry) {
+	for i := range entries {
+		all = append(all, &entries[i])
+	}
+	return all
+}
--- a/internal/mirror/peer.go
+++ b/internal/mirror/peer.go
@@ -9,12 +9,14 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"net/url"
 	"slices"
 	"strconv"
 	"time"
 
 	"github.com/ansel1/merry/v2"
 
+	"example.org/lagoonfork/internal/delta"
 	"example.org/lagoonfork/internal/event"
 	"example.org/lagoonfork/internal/transfer"
 	"example.org/lagoonfork/pkg/store"
@@ -22,7 +24,8 @@
 
 // SnapshotPath is the path prefix under which a router serves its copy. The mirror's
 // name follows. The query parameter after is the revision that the requesting router
-// has.
+// has. The parameter held, if present, is a JSON object of the revisions of its large
+// entries, by key; the router can then apply deltas.
 const SnapshotPath = "/peer/mirror/"
 
 const (
@@ -47,6 +50,8 @@
 type snapshot struct {
 	Revision store.Revision `json:"revision"`
 	Entries  []store.Entry  `json:"entries"`
+	// Deltas lead to the values of large entries, by key. These have no value in Entries.
+	Deltas map[string][]delta.Delta `json:"deltas,omitempty"`
 	// AgeMillis is the time since the service itself was last read for this copy. It
 	// is negative if that is unknown or too long ago.
 	AgeMillis int64 `json:"ageMillis"`
@@ -60,7 +65,14 @@
 		http.Error(w, "after: not a revision", http.StatusBadRequest)
 		return
 	}
-	s := m.copy(after)
+	var held map[string]store.Revision
+	if text := r.URL.Query().Get("held"); text != "" {
+		if err := json.Unmarshal([]byte(text), &held); err != nil {
+			http.Error(w, "held: not a JSON object of revisions", http.StatusBadRequest)
+			return
+		}
+	}
+	s := m.copy(after, held)
 	if int64(s.Revision) <= after {
 		w.WriteHeader(http.StatusNoContent)
 		return
@@ -70,12 +82,13 @@
 }
 
 // copy returns the mirror's copy, without its entries unless it is newer than after.
-func (m *Mirror) copy(after int64) (s snapshot) {
+func (m *Mirror) copy(after int64, held map[string]store.Revision) (s snapshot) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s = snapshot{Revision: m.view.revision, AgeMillis: -1}
 	if int64(s.Revision) > after {
 		s.Entries = slices.Collect(maps.Values(m.view.entries))
+		s.Deltas = m.pack(pointers(s.Entries), held)
 	}
 	if age := m.settings.Clock().Sub(m.serviceReadAt); !m.serviceReadAt.IsZero() && age <= m.maxRelayAge() {
 		s.AgeMillis = max(age.Milliseconds(), 0)
@@ -154,7 +167,12 @@
 	m.mu.Lock()
 	after := m.view.revision
 	m.mu.Unlock()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s%s%s?after=%d", peer, SnapshotPath, m.settings.Name, after), nil)
+	held, err := json.Marshal(m.largeEntries())
+	if err != nil {
+		return s, err
+	}
+	path := fmt.Sprintf("%s%s?after=%d&held=%s", SnapshotPath, m.settings.Name, after, url.QueryEscape(string(held)))
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+peer.String()+path, nil)
 	if err != nil {
 		return s, err
 	}
@@ -168,7 +186,10 @@
 		return s, nil
 	case http.StatusOK:
 		err = json.NewDecoder(transfer.Reader(ctx, io.LimitReader(response.Body, maxSnapshotBytes))).Decode(&s)
-		return s, err
+		if err != nil {
+			return s, err
+		}
+		return s, m.unpack(pointers(s.Entries), s.Deltas)
 	}
 	return s, merry.Errorf("status %d", response.StatusCode)
 }
--- a/internal/mirror/relay.go
+++ b/internal/mirror/relay.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"example.org/lagoonfork/internal/delta"
 	"example.org/lagoonfork/internal/event"
 	"example.org/lagoonfork/internal/transfer"
 	"example.org/lagoonfork/pkg/store"
@@ -29,12 +30,17 @@
 type changesRequest struct {
 	After      store.Revision `json:"after"`
 	WaitMillis int64          `json:"waitMillis"`
+	// Held holds the revisions of the large entries that the requester has, by key. If
+	// it is nil, the requester cannot apply deltas.
+	Held map[string]store.Revision `json:"held"`
 }
 
 // changesResponse is the wire form of the changes up to a revision.
 type changesResponse struct {
 	Revision store.Revision `json:"revision"`
 	Changes  []store.Event  `json:"changes"`
+	// Deltas lead to the values of large entries, by key. These have no value in Changes.
+	Deltas map[string][]delta.Delta `json:"deltas,omitempty"`
 	// AgeMillis is the time since the service itself was last read.
 	AgeMillis int64 `json:"ageMillis"`
 	// UnconfirmedDeletions lists the keys of entries whose leases may have expired
@@ -66,9 +72,12 @@
 			continue
 		}
 		var response changesResponse
-		request := changesRequest{After: m.relayRevision(from), WaitMillis: m.settings.RelayWait.Milliseconds()}
+		request := changesRequest{After: m.relayRevision(from), WaitMillis: m.settings.RelayWait.Milliseconds(), Held: m.largeEntries()}
 		relayCtx, t := transfer.Start(ctx, m.settings.Clock)
 		err := m.relayLinks.Post(relayCtx, relay, ChangesPath+m.settings.Name, request, &response)
+		if err == nil {
+			err = m.unpackChanges(response)
+		}
 		if err = m.metrics.record(sourceRelay, t, err); err != nil {
 			event.RelayFailed.Info(m.settings.Log, "mirror", m.settings.Name, "relay", relay, "revision", from, "error", err)
 			m.recheckDeletions()
@@ -114,7 +123,8 @@
 			return
 		}
 		wait := min(max(time.Duration(request.WaitMillis)*time.Millisecond, 0), m.maxRelayAge())
-		response, ok := m.waitForChanges(r.Context(), request.After, wait)
+		m.relaying.Store(true)
+		response, ok := m.waitForChanges(r.Context(), request.After, request.Held, wait)
 		if !ok {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
@@ -137,11 +147,11 @@
 
 // waitForChanges returns the changes after a revision as soon as there are any, or
 // none after wait. It returns false if the copy is too old or the relay has stopped.
-func (m *Mirror) waitForChanges(ctx context.Context, after store.Revision, wait time.Duration) (response changesResponse, ok bool) {
+func (m *Mirror) waitForChanges(ctx context.Context, after store.Revision, held map[string]store.Revision, wait time.Duration) (response changesResponse, ok bool) {
 	waitCtx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	for {
-		response, validFor, changed := m.changesSince(after)
+		response, validFor, changed := m.changesSince(after, held)
 		if validFor <= 0 || len(response.Changes) > 0 || waitCtx.Err() != nil {
 			return response, validFor > 0
 		}
@@ -162,7 +172,7 @@
 
 // changesSince returns the changes after a revision, how much longer the copy is
 // recent enough to relay, and a channel that is closed at the next change.
-func (m *Mirror) changesSince(after store.Revision) (response changesResponse, validFor time.Duration, changed <-chan struct{}) {
+func (m *Mirror) changesSince(after store.Revision, held map[string]store.Revision) (response changesResponse, validFor time.Duration, changed <-chan struct{}) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	events, ok := m.view.changes(after)
@@ -175,7 +185,8 @@
 		return changesResponse{}, 0, m.changed
 	}
 	age := m.settings.Clock().Sub(m.serviceReadAt)
-	response = changesResponse{Revision: m.view.revision, Changes: events, AgeMillis: age.Milliseconds(), UnconfirmedDeletions: slices.Collect(maps.Keys(m.view.lapsed))}
+	deltas := m.packChanges(events, held)
+	response = changesResponse{Revision: m.view.revision, Changes: events, Deltas: deltas, AgeMillis: age.Milliseconds(), UnconfirmedDeletions: slices.Collect(maps.Keys(m.view.lapsed))}
 	return response, m.maxRelayAge() - age, m.changed
 }
 
