Read a large value once, however many versions of it were missed

The service returns each version of an entry that a router has missed. The configuration is one entry, so a router that fell behind by k versions had to read k times 418 KB over its link (up to 688 KB of a reading had arrived when it was cut off), and fell behind further. Changes that are larger than two lists of what the router holds are now abandoned for a list, which has each entry once; transfer.Limit ends them by size.

The reading of the service moved to a file of its own.

--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -33,7 +33,6 @@
 
 import (
 	"context"
-	"errors"
 	"maps"
 	"net/http"
 	"net/netip"
@@ -42,15 +41,12 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/ansel1/merry/v2"
 	"github.com/hashicorp/go-hclog"
 	"gopkg.in/tomb.v2"
 
 	"example.org/lagoonfork/internal/event"
-	"example.org/lagoonfork/internal/history"
 	"example.org/lagoonfork/internal/outage"
 	"example.org/lagoonfork/internal/peerlink"
-	"example.org/lagoonfork/internal/transfer"
 	"example.org/lagoonfork/pkg/store"
 )
 
@@ -125,7 +121,6 @@
 
 	mu                  sync.Mutex
 	view                view
-	history             history.History // of large entries
 	initialized         bool
 	lastReadFailed      bool
 	serviceReadAt       time.Time // last read of the service itself; zero after a failed read
@@ -242,65 +237,6 @@
 	return false, m.readService(ctx, from, initialized)
 }
 
-// readService reads the changes after a revision from the service. It lists all
-// entries if the mirror is not initialized or the changes were compacted.
-func (m *Mirror) readService(ctx context.Context, from store.Revision, initialized bool) (err error) {
-	defer func() {
-		if err != nil {
-			err = merry.Prepend(err, "reading the key-value service")
-		}
-		if ctx.Err() == nil {
-			m.settings.Outage.Record(m.settings.Clock(), err)
-		}
-		if err != nil {
-			m.suspendRelay()
-		}
-	}()
-	wait := m.pollWait()
-	readCtx, t, stop := transfer.Limit{Begin: m.settings.Timeout + wait}.Start(ctx, m.settings.Clock)
-	defer stop()
-	defer func() { err = m.metrics.record(sourceService, t, err) }()
-	if initialized {
-		b, err := m.settings.Source.Changes(readCtx, m.settings.Prefix, from, wait)
-		if !errors.Is(err, store.ErrCompacted) {
-			if err == nil {
-				m.recordServiceRead(m.settings.Clock())
-				m.addDeltas(b)
-				m.applyBatch(b)
-			}
-			return err
-		}
-	}
-	entries, r, err := m.settings.Source.List(readCtx, m.settings.Prefix)
-	if err != nil {
-		return err
-	}
-	m.recordServiceRead(m.settings.Clock())
-	m.replaceAll(entries, r)
-	return nil
-}
-
-// suspendRelay stops relaying the copy after a failed read, until the next successful
-// one: downstream routers may still be able to reach the service.
-func (m *Mirror) suspendRelay() {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if !m.serviceReadAt.IsZero() {
-		m.serviceReadAt = time.Time{}
-		m.notify()
-	}
-}
-
-// recordServiceRead records that the service itself was read at the given time, by
-// this router or by a router from which it got the data.
-func (m *Mirror) recordServiceRead(at time.Time) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if at.After(m.serviceReadAt) {
-		m.serviceReadAt = at
-	}
-}
-
 func (m *Mirror) applyBatch(b store.Batch) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/mirror/pack.go
+++ b/internal/mirror/pack.go
@@ -28,32 +28,42 @@
 	return held
 }
 
-// addDeltas adds the changes of large entries that were read from the service to the
-// history, if other routers read through this one. It must be called before the batch is
-// applied.
-func (m *Mirror) addDeltas(b store.Batch) {
+// addDeltas adds the versions of large entries that were read from the service to the
+// history, if other routers read through this one. The versions of an entry are in order
+// of revision. It must be called before the versions are applied.
+func (m *Mirror) addDeltas(versions []store.Entry) {
 	if !m.relaying.Load() {
 		return
 	}
 	newest := make(map[string]store.Entry)
-	for _, e := range b.Events {
-		key := e.Entry.Key
-		before, ok := newest[key]
+	for _, e := range versions {
+		if len(e.Value) < minLargeValue {
+			continue
+		}
+		before, ok := newest[e.Key]
 		if !ok {
-			before, _ = m.Get(key)
+			before, ok = m.Get(e.Key)
 		}
-		newest[key] = e.Entry
-		if e.Deleted || len(e.Entry.Value) < minLargeValue || len(before.Value) == 0 || e.Entry.Revision <= before.Revision {
+		newest[e.Key] = e
+		if !ok || e.Revision <= before.Revision {
 			continue
 		}
-		d, err := delta.New(before, e.Entry)
+		d, err := delta.New(before, e)
 		if err != nil {
 			continue // the value is sent whole
 		}
-		m.mu.Lock()
-		m.history.Add(key, d)
-		m.mu.Unlock()
+		m.keepDeltas(e.Key, []delta.Delta{d})
+	}
+}
+
+// changedEntries returns the entries of a batch that were not deleted.
+func changedEntries(b store.Batch) (entries []store.Entry) {
+	for _, e := range b.Events {
+		if !e.Deleted {
+			entries = append(entries, e.Entry)
+		}
 	}
+	return entries
 }
 
 // packChanges replaces the large values of events by the deltas that it returns.
@@ -78,7 +88,7 @@
 		if len(e.Value) < minLargeValue {
 			continue
 		}
-		deltas, err := m.history.Since(*e, held[e.Key])
+		deltas, err := m.view.history.Since(*e, held[e.Key])
 		if err != nil {
 			continue // the value is sent whole
 		}
@@ -131,7 +141,7 @@
 	defer m.mu.Unlock()
 	for _, d := range deltas {
 		if d.From != 0 {
-			m.history.Add(key, d)
+			m.view.history.Add(key, d)
 		}
 	}
 }
--- /dev/null
+++ b/internal/mirror/service.go
@@ -0,0 +1,117 @@
+package mirror
+
+import (
+	"context"
+	"encoding/base64"
+	"errors"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"example.org/lagoonfork/internal/transfer"
+	"example.org/lagoonfork/pkg/store"
+)
+
+const (
+	// entryOverhead is about the size in bytes of an entry on the wire without its key
+	// and value.
+	entryOverhead = 100
+	// maxChangesRatio is how many times as large as a list changes may be. Up to then
+	// reading them is not slower than starting with a list.
+	maxChangesRatio = 2
+	// minChangesLimit is the size in bytes up to which changes are read in any case.
+	minChangesLimit = 32 << 10
+)
+
+// readService reads the changes after a revision from the service. It lists all
+// entries if the mirror is not initialized, the changes were compacted, or they are larger
+// than the list.
+func (m *Mirror) readService(ctx context.Context, from store.Revision, initialized bool) (err error) {
+	defer func() {
+		if err != nil {
+			err = merry.Prepend(err, "reading the key-value service")
+		}
+		if ctx.Err() == nil {
+			m.settings.Outage.Record(m.settings.Clock(), err)
+		}
+		if err != nil {
+			m.suspendRelay()
+		}
+	}()
+	if initialized {
+		err := m.readChanges(ctx, from)
+		if !errors.Is(err, store.ErrCompacted) && !errors.Is(err, transfer.ErrTooLarge) {
+			return err
+		}
+	}
+	return m.listEntries(ctx)
+}
+
+// readChanges reads the changes after a revision from the service. The error wraps
+// transfer.ErrTooLarge if a list is smaller.
+func (m *Mirror) readChanges(ctx context.Context, from store.Revision) (err error) {
+	wait := m.pollWait()
+	limit := transfer.Limit{Begin: m.settings.Timeout + wait, MaxBytes: m.maxChangesSize()}
+	ctx, t, stop := limit.Start(ctx, m.settings.Clock)
+	defer stop()
+	defer func() { err = m.metrics.record(sourceService, t, err) }()
+	b, err := m.settings.Source.Changes(ctx, m.settings.Prefix, from, wait)
+	if err != nil {
+		if cause := context.Cause(ctx); errors.Is(cause, transfer.ErrTooLarge) {
+			return cause
+		}
+		return err
+	}
+	m.recordServiceRead(m.settings.Clock())
+	m.addDeltas(changedEntries(b))
+	m.applyBatch(b)
+	return nil
+}
+
+// listEntries reads all entries from the service.
+func (m *Mirror) listEntries(ctx context.Context) (err error) {
+	ctx, t, stop := transfer.Limit{Begin: m.settings.Timeout}.Start(ctx, m.settings.Clock)
+	defer stop()
+	defer func() { err = m.metrics.record(sourceService, t, err) }()
+	entries, r, err := m.settings.Source.List(ctx, m.settings.Prefix)
+	if err != nil {
+		return err
+	}
+	m.recordServiceRead(m.settings.Clock())
+	m.addDeltas(entries)
+	m.replaceAll(entries, r)
+	return nil
+}
+
+// maxChangesSize returns the size in bytes from which changes are not read: they hold each
+// version of an entry, a list only the newest.
+func (m *Mirror) maxChangesSize() int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	list := 0
+	for key, e := range m.view.entries {
+		list += base64.StdEncoding.EncodedLen(len(e.Value)) + len(key) + entryOverhead
+	}
+	return int64(max(maxChangesRatio*list, minChangesLimit))
+}
+
+// suspendRelay stops relaying the copy after a failed read, until the next successful
+// one: downstream routers may still be able to reach the service.
+func (m *Mirror) suspendRelay() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.serviceReadAt.IsZero() {
+		m.serviceReadAt = time.Time{}
+		m.notify()
+	}
+}
+
+// recordServiceRead records that the service itself was read at the given time, by
+// this router or by a router from which it got the data.
+func (m *Mirror) recordServiceRead(at time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if at.After(m.serviceReadAt) {
+		m.serviceReadAt = at
+	}
+}
--- a/internal/mirror/view.go
+++ b/internal/mirror/view.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"example.org/lagoonfork/internal/history"
 	"example.org/lagoonfork/pkg/store"
 )
 
@@ -26,6 +27,8 @@
 	tombstones map[string]tombstone
 	compacted  store.Revision
 
+	history history.History // of large entries, for routers that read through this one
+
 	lastRead    time.Time // last successful read from the service or a relay
 	recoveredAt time.Time // first successful read after the last outage
 }
@@ -166,6 +169,7 @@
 	delete(v.entries, key)
 	delete(v.lapsed, key)
 	delete(v.changedAt, key)
+	v.history.Drop(key)
 }
 
 // pruneTombstones discards the tombstones older than tombstoneRetention.
--- a/internal/transfer/limit.go
+++ b/internal/transfer/limit.go
@@ -14,8 +14,12 @@
 	maxDuration = 15 * time.Second
 )
 
-// errTooSlow ends the context of a transfer that exceeds its limit.
-var errTooSlow = errors.New("response too slow")
+// Causes of the end of a transfer's context.
+var (
+	errTooSlow = errors.New("response too slow")
+	// ErrTooLarge reports that a body has more than Limit.MaxBytes.
+	ErrTooLarge = errors.New("response too large")
+)
 
 // Limit bounds how long a response may take. A response has to begin within the time
 // Begin, and its body may not stall for longer. Each byte that arrives extends the time
@@ -23,6 +27,8 @@
 // drips or has no end is cut off.
 type Limit struct {
 	Begin time.Duration
+	// MaxBytes is the maximum size of the body. Zero means no limit.
+	MaxBytes int64
 }
 
 // Start starts to track the response to a call that is made with the returned context,
@@ -32,7 +38,7 @@
 	ctx, t = Start(ctx, clock)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.limit = l
+	t.limit, t.cancel = l, cancel
 	t.timer = time.AfterFunc(l.Begin, func() { cancel(errTooSlow) })
 	return ctx, t, func() {
 		t.timer.Stop()
--- a/internal/transfer/transfer.go
+++ b/internal/transfer/transfer.go
@@ -40,7 +40,8 @@
 	begun    time.Time // arrival of the header, or zero
 	received int64     // bytes of the body
 	limit    Limit
-	timer    *time.Timer // ends the transfer; nil if there is no limit
+	timer    *time.Timer // cancels the transfer; nil if there is no limit
+	cancel   context.CancelCauseFunc
 }
 
 type contextKey struct{}
@@ -92,7 +93,11 @@
 		t.begun = now
 	}
 	t.received += int64(n)
-	if t.timer != nil && t.timer.Stop() {
+	switch {
+	case t.timer == nil:
+	case t.limit.MaxBytes > 0 && t.received > t.limit.MaxBytes:
+		t.cancel(ErrTooLarge)
+	case t.timer.Stop():
 		t.timer.Reset(t.limit.left(now.Sub(t.start), t.received))
 	}
 }
