Apply deltas to the version that was named in the request

A router without the service asks two others for their copies at a time. The versions named in a request are now kept until its response is read.

TestChangeThatArrivesAfterANewerOne calls the changed function, so it was not run before.

--- a/internal/mirror/pack.go
+++ b/internal/mirror/pack.go
@@ -15,17 +15,27 @@
 	maxHeld = 8
 )
 
-// largeEntries returns the revisions of the large entries that this router holds, by key.
-func (m *Mirror) largeEntries() map[string]store.Revision {
+// largeEntries returns the large entries that this router holds, by key, which are the
+// bases of the deltas that it can apply.
+func (m *Mirror) largeEntries() map[string]store.Entry {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	held := make(map[string]store.Revision)
+	bases := make(map[string]store.Entry)
 	for key, e := range m.view.entries {
-		if len(e.Value) >= minLargeValue && len(held) < maxHeld {
-			held[key] = e.Revision
+		if len(e.Value) >= minLargeValue && len(bases) < maxHeld {
+			bases[key] = e
 		}
 	}
-	return held
+	return bases
+}
+
+// revisions returns the revisions of entries, by key. It is not nil.
+func revisions(entries map[string]store.Entry) map[string]store.Revision {
+	all := make(map[string]store.Revision, len(entries))
+	for key, e := range entries {
+		all[key] = e.Revision
+	}
+	return all
 }
 
 // addDeltas adds the versions of large entries that were read from the service to the
@@ -98,27 +108,27 @@
 }
 
 // unpackChanges sets the values of the events of a response that come as deltas.
-func (m *Mirror) unpackChanges(r changesResponse) error {
+func (m *Mirror) unpackChanges(r changesResponse, bases map[string]store.Entry) error {
 	entries := make([]*store.Entry, 0, len(r.Changes))
 	for i := range r.Changes {
 		if !r.Changes[i].Deleted {
 			entries = append(entries, &r.Changes[i].Entry)
 		}
 	}
-	return m.unpack(entries, r.Deltas)
+	return m.unpack(entries, r.Deltas, bases)
 }
 
-// unpack sets the values of the entries that come as deltas, and keeps the deltas for the
-// routers that read through this one.
-func (m *Mirror) unpack(entries []*store.Entry, packed map[string][]delta.Delta) error {
+// unpack sets the values of the entries that come as deltas from bases, and keeps the
+// deltas for the routers that read through this one.
+func (m *Mirror) unpack(entries []*store.Entry, packed map[string][]delta.Delta, bases map[string]store.Entry) error {
 	for _, e := range entries {
 		deltas, ok := packed[e.Key]
 		if !ok {
 			continue
 		}
 		version := store.Entry{Key: e.Key}
-		if len(deltas) > 0 && deltas[0].From != 0 {
-			version, _ = m.Get(e.Key)
+		if base, ok := bases[e.Key]; ok && len(deltas) > 0 && deltas[0].From != 0 {
+			version = base
 		}
 		for _, d := range deltas {
 			var err error
--- a/internal/mirror/pack_test.go
+++ b/internal/mirror/pack_test.go
@@ -103,3 +103,17 @@
 		})
 	}
 }
+
+// TestChangeThatArrivesAfterANewerOne guards against rejecting the copy of a router because
+// that of another one, which was asked at the same time, has been taken already.
+func TestChangeThatArrivesAfterANewerOne(t *testing.T) {
+	f := newSlowFleet(t)
+	routes := newRoutes(100)
+	f.replicate(t, routes)
+	bases := f.downstream.mirror.largeEntries()
+	f.replicate(t, append(routes, newRoutes(1)...))
+	changes, _, _ := f.relay.mirror.changesSince(bases["k/a"].Revision, revisions(bases))
+	require.Len(t, changes.Changes, 1)
+	require.Equal(t, bases["k/a"].Revision, changes.Deltas["k/a"][0].From)
+	assert.NoError(t, f.downstream.mirror.unpackChanges(changes, bases))
+}
--- a/internal/mirror/peer.go
+++ b/internal/mirror/peer.go
@@ -167,7 +167,8 @@
 	m.mu.Lock()
 	after := m.view.revision
 	m.mu.Unlock()
-	held, err := json.Marshal(m.largeEntries())
+	bases := m.largeEntries()
+	held, err := json.Marshal(revisions(bases))
 	if err != nil {
 		return s, err
 	}
@@ -189,7 +190,7 @@
 		if err != nil {
 			return s, err
 		}
-		return s, m.unpack(pointers(s.Entries), s.Deltas)
+		return s, m.unpack(pointers(s.Entries), s.Deltas, bases)
 	}
 	return s, merry.Errorf("status %d", response.StatusCode)
 }
--- a/internal/mirror/relay.go
+++ b/internal/mirror/relay.go
@@ -72,11 +72,12 @@
 			continue
 		}
 		var response changesResponse
-		request := changesRequest{After: m.relayRevision(from), WaitMillis: m.settings.RelayWait.Milliseconds(), Held: m.largeEntries()}
+		bases := m.largeEntries()
+		request := changesRequest{After: m.relayRevision(from), WaitMillis: m.settings.RelayWait.Milliseconds(), Held: revisions(bases)}
 		relayCtx, t := transfer.Start(ctx, m.settings.Clock)
 		err := m.relayLinks.Post(relayCtx, relay, ChangesPath+m.settings.Name, request, &response)
 		if err == nil {
-			err = m.unpackChanges(response)
+			err = m.unpackChanges(response, bases)
 		}
 		if err = m.metrics.record(sourceRelay, t, err); err != nil {
 			event.RelayFailed.Info(m.settings.Log, "mirror", m.settings.Name, "relay", relay, "revision", from, "error", err)
