A relay's response may be on its way for as long as that of the service

A relay waits 0.4 s for changes, and its response had 0.2 s for the way. The response now has the 0.6 s that one of the service has. The time on the way counts as age of what was read, so that a copy is not believed for longer; the relay says how long it waited.

TestRelayBehindDelayedLinkIsRead failed before: 28 readings of the service in a second, none wanted.

--- a/internal/edge/defaults.go
+++ b/internal/edge/defaults.go
@@ -21,8 +21,9 @@
 	mirrorUnavailableDelay = 700 * time.Millisecond
 	// mirrorPollWait is how long a read waits for changes. It bounds how long a router
 	// that was partitioned without notice is still trusted: with relayWait and the
-	// margin of a call it must stay below the two seconds in which a change has to
-	// take effect, with time left for a read of the key-value service itself.
+	// margin by which its own read may be overdue it must stay below the two seconds in
+	// which a change has to take effect, with time left for a read of the key-value
+	// service itself.
 	mirrorPollWait = 900 * time.Millisecond
 	// relaxedPollWait is how long a read of the routers' records or of the quarantine
 	// list waits for changes. These may be some seconds old.
@@ -30,8 +31,9 @@
 	// relaxedCallInterval is the MinCallInterval of these mirrors. It keeps their reads
 	// from adding to the load of reads of changes that have to take effect soon.
 	relaxedCallInterval = 500 * time.Millisecond
-	// relayWait is how long a read from a relay waits for changes. It leaves time to
-	// read the key-value service itself once the relay stops responding.
+	// relayWait is how long a read from a relay waits for changes. With mirrorTimeout,
+	// for which the response may be on its way, it leaves time to read the key-value
+	// service itself once the relay stops responding.
 	relayWait = 400 * time.Millisecond
 	// recordInterval is the time between two reads of the routers' records while
 	// they change.
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -137,7 +137,7 @@
 		settings:          s,
 		policy:            outagePolicy{unavailableAfter: s.UnavailableAfter, gracePeriod: s.GracePeriod},
 		view:              newView(s.Equivalent),
-		relayLinks:        peerlink.New(peerlink.Settings{Timeout: s.RelayWait + relayMargin, Clock: s.Clock}),
+		relayLinks:        peerlink.New(peerlink.Settings{Timeout: s.RelayWait + s.Timeout, Clock: s.Clock}),
 		relayStopped:      make(chan struct{}),
 		bootstrapAttempts: s.BootstrapAttempts,
 		changed:           make(chan struct{}),
--- a/internal/mirror/peer.go
+++ b/internal/mirror/peer.go
@@ -104,10 +104,11 @@
 	defer cancel()
 	for ; m.bootstrapAttempts > 0 && roundsCtx.Err() == nil; m.bootstrapAttempts-- {
 		for _, p := range m.bootstrapPeers() {
+			sent := m.settings.Clock()
 			s, err := m.fetch(ctx, p, bootstrapFetchTimeout)
 			if err == nil && s.Revision > 0 && s.AgeMillis >= 0 {
 				m.adoptSnapshot(s, p)
-				m.recordServiceRead(m.settings.Clock().Add(-time.Duration(s.AgeMillis) * time.Millisecond))
+				m.recordServiceRead(sent.Add(-time.Duration(s.AgeMillis) * time.Millisecond))
 				m.applyBatch(store.Batch{Revision: s.Revision})
 				return true
 			}
--- a/internal/mirror/relay.go
+++ b/internal/mirror/relay.go
@@ -19,8 +19,7 @@
 const ChangesPath = "/peer/changes/"
 
 const (
-	// relayMargin is how long beyond the wait a relay's response may take, and how
-	// long the relay's own read may be overdue.
+	// relayMargin is how long the relay's own read may be overdue.
 	relayMargin = 200 * time.Millisecond
 	// maxRequestBytes is the maximum size of a request for changes.
 	maxRequestBytes = 1 << 10
@@ -41,8 +40,10 @@
 	Changes  []store.Event  `json:"changes"`
 	// Deltas lead to the values of large entries, by key. These have no value in Changes.
 	Deltas map[string][]delta.Delta `json:"deltas,omitempty"`
-	// AgeMillis is the time since the service itself was last read.
-	AgeMillis int64 `json:"ageMillis"`
+	// AgeMillis is the time since the service itself was last read. WaitedMillis is the
+	// time for which the relay waited for changes.
+	AgeMillis    int64 `json:"ageMillis"`
+	WaitedMillis int64 `json:"waitedMillis"`
 	// UnconfirmedDeletions lists the keys of entries whose leases may have expired
 	// only because the relay had lost the service.
 	UnconfirmedDeletions []string `json:"doubtful,omitempty"`
@@ -58,6 +59,14 @@
 	return deletions
 }
 
+// serviceReadAt returns the time of the last read of the service itself, for a response
+// that arrived now to a request sent at the given time. The time on the way counts as age,
+// because the response may have been delayed.
+func (r changesResponse) serviceReadAt(sent, now time.Time) time.Time {
+	waited := min(time.Duration(r.WaitedMillis)*time.Millisecond, now.Sub(sent))
+	return sent.Add(max(waited, 0) - time.Duration(max(r.AgeMillis, 0))*time.Millisecond)
+}
+
 // readFromRelay reads the changes after a revision from the preferred relay that is
 // not in backoff. It returns false if there is none or the relay fails.
 func (m *Mirror) readFromRelay(ctx context.Context, from store.Revision) (ok bool) {
@@ -74,6 +83,7 @@
 		var response changesResponse
 		bases := m.largeEntries()
 		request := changesRequest{After: m.relayRevision(from), WaitMillis: m.settings.RelayWait.Milliseconds(), Held: revisions(bases)}
+		sent := m.settings.Clock()
 		relayCtx, t := transfer.Start(ctx, m.settings.Clock)
 		err := m.relayLinks.Post(relayCtx, relay, ChangesPath+m.settings.Name, request, &response)
 		if err == nil {
@@ -84,7 +94,7 @@
 			m.recheckDeletions()
 			return false
 		}
-		m.recordServiceRead(m.settings.Clock().Add(-time.Duration(max(response.AgeMillis, 0)) * time.Millisecond))
+		m.recordServiceRead(response.serviceReadAt(sent, m.settings.Clock()))
 		m.applyBatch(store.Batch{Revision: max(from, response.Revision), Events: response.Changes})
 		m.applyConfirmedDeletions(response.confirmedDeletions())
 		return true
@@ -125,11 +135,13 @@
 		}
 		wait := min(max(time.Duration(request.WaitMillis)*time.Millisecond, 0), m.maxRelayAge())
 		m.relaying.Store(true)
+		received := m.settings.Clock()
 		response, ok := m.waitForChanges(r.Context(), request.After, request.Held, wait)
 		if !ok {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
+		response.WaitedMillis = m.settings.Clock().Sub(received).Milliseconds()
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(response) // the client detects a truncated response
 	})
--- a/internal/mirror/relay_test.go
+++ b/internal/mirror/relay_test.go
@@ -103,6 +103,25 @@
 	assert.Less(t, age, 500*time.Millisecond)
 }
 
+// TestTimeOnTheWayCountsAsAge guards against a copy that is believed for longer because it
+// was delayed on its way.
+func TestTimeOnTheWayCountsAsAge(t *testing.T) {
+	sent := time.Unix(1000, 0)
+	now := sent.Add(time.Second)
+	for _, c := range []struct {
+		waited, age int64 // milliseconds
+		want        time.Duration
+	}{
+		{400, 0, 400 * time.Millisecond},
+		{400, 300, 100 * time.Millisecond},
+		{0, 300, -300 * time.Millisecond},
+		{5000, 300, 700 * time.Millisecond},
+		{-5, -5, 0},
+	} {
+		assert.Equal(t, sent.Add(c.want), changesResponse{WaitedMillis: c.waited, AgeMillis: c.age}.serviceReadAt(sent, now))
+	}
+}
+
 // TestEquivalentChangeIsNotRelayed checks that a change to an equivalent value is
 // not relayed and does not delay later changes.
 func TestEquivalentChangeIsNotRelayed(t *testing.T) {
--- a/internal/mirror/slow_test.go
+++ b/internal/mirror/slow_test.go
@@ -102,3 +102,27 @@
 		assert.Less(t, f.link.Sent()-before, int64(len(routes)/20))
 	}
 }
+
+// TestRelayBehindDelayedLinkIsRead guards against a relay that counts as silent because
+// its response, once it has waited for changes, is delayed on a full link.
+func TestRelayBehindDelayedLinkIsRead(t *testing.T) {
+	f := newFleet(t, 1)
+	f.routers[0].put(t, "a", "1")
+	f.routers[0].waitFor(t, "a", "1")
+	delayed := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		recorder := httptest.NewRecorder()
+		f.routers[0].server.Config.Handler.ServeHTTP(recorder, r)
+		time.Sleep(2 * relayMargin)
+		w.WriteHeader(recorder.Code)
+		_, _ = w.Write(recorder.Body.Bytes())
+	}))
+	t.Cleanup(delayed.Close)
+	r := f.startRouter(t, &testRouter{fixture: f.routers[0].fixture, server: delayed}, 0)
+	r.waitFor(t, "a", "1")
+	reads := r.source.reads.Load()
+	time.Sleep(5 * relayMargin)
+	assert.Equal(t, reads, r.source.reads.Load(), "reads of the service")
+	f.routers[0].put(t, "a", "2")
+	r.waitFor(t, "a", "2")
+	assert.Equal(t, reads, r.source.reads.Load(), "reads of the service")
+}
--- a/internal/transfer/transfer.go
+++ b/internal/transfer/transfer.go
@@ -109,6 +109,16 @@
 	return t.received
 }
 
+// Begun returns when the header of the response arrived, or now if that is not known.
+func (t *Transfer) Begun(now time.Time) time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.begun.IsZero() {
+		return now
+	}
+	return t.begun
+}
+
 // Annotate prepends to err how far the response had arrived. It returns nil if err is
 // nil.
 func (t *Transfer) Annotate(err error) error {
