A long poll counts as read when its body begins

Since a response's time on the way counts as age, a reading of the service counted from the arrival of its header. It now counts from the first byte of the body.

TestLongPollCountsAsReadAtItsEnd fails with the header's time.

--- a/internal/mirror/service.go
+++ b/internal/mirror/service.go
@@ -62,7 +62,7 @@
 		}
 		return err
 	}
-	m.recordServiceRead(t.Begun(m.settings.Clock()))
+	m.recordServiceRead(t.FirstByte(m.settings.Clock()))
 	m.addDeltas(changedEntries(b))
 	m.applyBatch(b)
 	return nil
@@ -77,7 +77,7 @@
 	if err != nil {
 		return err
 	}
-	m.recordServiceRead(t.Begun(m.settings.Clock()))
+	m.recordServiceRead(t.FirstByte(m.settings.Clock()))
 	m.addDeltas(entries)
 	m.replaceAll(entries, r)
 	return nil
--- a/internal/mirror/slow_test.go
+++ b/internal/mirror/slow_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -16,6 +20,8 @@
 
 	"example.org/lagoonfork/internal/fake/keyvalue"
 	"example.org/lagoonfork/internal/fake/slowlink"
+	"example.org/lagoonfork/internal/transfer"
+	"example.org/lagoonfork/pkg/store"
 )
 
 // slowLinkBandwidth is in bytes per second. At this rate a table of routes takes several
@@ -126,3 +132,39 @@
 	r.waitFor(t, "a", "2")
 	assert.Equal(t, reads, r.source.reads.Load(), "reads of the service")
 }
+
+// earlyHeaderSource is a Source whose first long poll sends its header a second before
+// its body. Further ones do not return.
+type earlyHeaderSource struct {
+	*source
+	now   atomic.Int64 // seconds
+	polls atomic.Int64
+}
+
+func (s *earlyHeaderSource) Changes(ctx context.Context, _ string, from store.Revision, _ time.Duration) (store.Batch, error) {
+	if s.polls.Add(1) > 1 {
+		<-ctx.Done()
+		return store.Batch{}, ctx.Err()
+	}
+	body := transfer.Reader(ctx, strings.NewReader("{}"))
+	s.now.Add(1)
+	_, err := io.ReadAll(body)
+	return store.Batch{Revision: from}, err
+}
+
+// TestLongPollCountsAsReadAtItsEnd guards against a reader whose copy counts as old while
+// nothing changes, because the header of a long poll comes at its beginning.
+func TestLongPollCountsAsReadAtItsEnd(t *testing.T) {
+	source := &earlyHeaderSource{source: &source{Client: keyvalue.New(keyvalue.Settings{Seed: 1}).Client()}}
+	m := New(Settings{
+		Name: "test", Prefix: "k/", Source: source,
+		Interval: 10 * time.Millisecond, Timeout: time.Minute, UnavailableAfter: time.Minute,
+		Peers: func() []netip.AddrPort { return nil },
+		Clock: func() time.Time { return time.Unix(source.now.Load(), 0) }, Log: hclog.NewNullLogger(),
+	})
+	defer func() { require.NoError(t, m.Close()) }()
+	require.Eventually(t, func() bool { return source.polls.Load() > 1 }, 10*time.Second, time.Millisecond)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	assert.Equal(t, time.Unix(1, 0), m.serviceReadAt)
+}
--- a/internal/transfer/transfer.go
+++ b/internal/transfer/transfer.go
@@ -36,12 +36,13 @@
 	start  time.Time
 	parent *Transfer // of the calling function, or nil
 
-	mu       sync.Mutex
-	begun    time.Time // arrival of the header, or zero
-	received int64     // bytes of the body
-	limit    Limit
-	timer    *time.Timer // cancels the transfer; nil if there is no limit
-	cancel   context.CancelCauseFunc
+	mu        sync.Mutex
+	begun     time.Time // arrival of the header, or zero
+	firstByte time.Time // arrival of the first byte of the body, or zero
+	received  int64     // bytes of the body
+	limit     Limit
+	timer     *time.Timer // cancels the transfer; nil if there is no limit
+	cancel    context.CancelCauseFunc
 }
 
 type contextKey struct{}
@@ -92,6 +93,9 @@
 	if t.begun.IsZero() {
 		t.begun = now
 	}
+	if n > 0 && t.firstByte.IsZero() {
+		t.firstByte = now
+	}
 	t.received += int64(n)
 	switch {
 	case t.timer == nil:
@@ -109,14 +113,15 @@
 	return t.received
 }
 
-// Begun returns when the header of the response arrived, or now if that is not known.
-func (t *Transfer) Begun(now time.Time) time.Time {
+// FirstByte returns when the first byte of the body arrived, or now if that is not known.
+// The header may arrive earlier, before the server has the response.
+func (t *Transfer) FirstByte(now time.Time) time.Time {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.begun.IsZero() {
+	if t.firstByte.IsZero() {
 		return now
 	}
-	return t.begun
+	return t.firstByte
 }
 
 // Annotate prepends to err how far the response had arrived. It returns nil if err is
--- a/internal/transfer/transfer_test.go
+++ b/internal/transfer/transfer_test.go
@@ -25,7 +25,7 @@
 	assert.ErrorIs(t, err, cause)
 	assert.EqualError(t, err, "response began after 100ms, 4 bytes received after 150ms: cut off")
 	assert.EqualValues(t, 4, transfer.Received())
-	assert.Equal(t, now.Add(-50*time.Millisecond), transfer.Begun(now))
+	assert.Equal(t, now, transfer.FirstByte(now.Add(time.Second)), "the header came 50 ms earlier")
 	assert.NoError(t, transfer.Annotate(nil))
 }
 
