--- a/internal/event/store.go
+++ b/internal/event/store.go
@@ -23,5 +23,5 @@
 	PresenceFailed = define(810, "presence not announced",
 		"The record of this router could not be written or renewed; the operation is retried. Fields: error.")
 	RelayFailed = define(811, "relay failed",
-		"The router through which this router reads the service did not respond, refused, or its response did not arrive in time. The service or another router is read instead. Fields: mirror, relay, revision (already held), error (which says how much had arrived).")
+		"The router through which this router reads the service did not respond, refused, or its response did not arrive in time. The service or another router is read instead. Of refusals in series, the first is logged. Fields: mirror, relay, revision (already held), error (which says how much had arrived).")
 )
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -115,7 +115,8 @@
 	relayLinks        *peerlink.Links
 	tomb              tomb.Tomb
 	relayStopped      chan struct{}
-	bootstrapAttempts int // remaining; accessed only by the run goroutine
+	bootstrapAttempts int  // remaining; accessed only by the run goroutine
+	relayRefused      bool // the last read from a relay was refused; accessed only by the run goroutine
 	metrics           metrics
 	relaying          atomic.Bool // whether another router has read through this one
 
--- a/internal/mirror/relay.go
+++ b/internal/mirror/relay.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"maps"
 	"net/http"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -90,10 +92,11 @@
 			err = m.unpackChanges(response, bases)
 		}
 		if err = m.metrics.record(sourceRelay, t, err); err != nil {
-			event.RelayFailed.Info(m.settings.Log, "mirror", m.settings.Name, "relay", relay, "revision", from, "error", err)
+			m.logRelayFailure(relay, from, t, err)
 			m.recheckDeletions()
 			return false
 		}
+		m.relayRefused = false
 		m.recordServiceRead(response.serviceReadAt(sent, m.settings.Clock()))
 		m.applyBatch(store.Batch{Revision: max(from, response.Revision), Events: response.Changes})
 		m.applyConfirmedDeletions(response.confirmedDeletions())
@@ -102,6 +105,16 @@
 	return false
 }
 
+// logRelayFailure logs that a read from a relay failed. Of consecutive refusals, as during
+// an outage of the service, it logs the first.
+func (m *Mirror) logRelayFailure(relay netip.AddrPort, from store.Revision, t *transfer.Transfer, err error) {
+	refused := errors.Is(err, store.ErrUnavailable) && t.Refused()
+	if !refused || !m.relayRefused {
+		event.RelayFailed.Info(m.settings.Log, "mirror", m.settings.Name, "relay", relay, "revision", from, "error", err)
+	}
+	m.relayRefused = refused
+}
+
 // relayRevision returns the revision after which to request changes from a relay.
 // Once after each recovery of the service, that is the revision before the first
 // unconfirmed deletion, so that the relay can confirm these deletions.
--- a/internal/transfer/transfer.go
+++ b/internal/transfer/transfer.go
@@ -113,6 +113,13 @@
 	return t.received
 }
 
+// Refused reports whether the response has arrived without a body.
+func (t *Transfer) Refused() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !t.begun.IsZero() && t.received == 0
+}
+
 // FirstByte returns when the first byte of the body arrived, or now if that is not known.
 // The header may arrive earlier, before the server has the response.
 func (t *Transfer) FirstByte(now time.Time) time.Time {
