Parts of the configuration and responses of peers may take as long as they arrive

Parts and all responses of peers are now bounded by what arrives.

TestLargePartIsReadOverSlowLink failed before: 'router unreachable: context deadline exceeded'.

--- a/internal/configwatch/configwatch.go
+++ b/internal/configwatch/configwatch.go
@@ -77,8 +77,11 @@
 	// If nil, a generator seeded with a hash of VM is used, so that VMs differ.
 	Random *rand.Rand
 	// Timeout limits each call to a peer or the service, except for long polls
-	// and watches. The default is 3 s.
+	// and watches. The default is 3 s. A part that arrives may take longer; see
+	// transfer.Limit.
 	Timeout time.Duration
+	// Clock measures how long calls take. The default is time.Now.
+	Clock func() time.Time
 }
 
 // Watcher keeps the configuration in force on a VM. Its methods are safe for
--- a/internal/configwatch/follow.go
+++ b/internal/configwatch/follow.go
@@ -53,6 +53,9 @@
 	if s.Timeout <= 0 {
 		s.Timeout = defaultTimeout
 	}
+	if s.Clock == nil {
+		s.Clock = time.Now
+	}
 	return s
 }
 
--- a/internal/configwatch/install.go
+++ b/internal/configwatch/install.go
@@ -10,6 +10,7 @@
 
 	"example.org/lagoonfork/internal/event"
 	"example.org/lagoonfork/internal/manifest"
+	"example.org/lagoonfork/internal/transfer"
 	"example.org/lagoonfork/pkg/configuration"
 	"example.org/lagoonfork/pkg/ident"
 )
@@ -160,8 +161,8 @@
 
 // readPart reads a part from one source. It does not verify the digest.
 func (w *Watcher) readPart(ctx context.Context, digest manifest.Digest, source ident.VM) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, w.settings.Timeout)
-	defer cancel()
+	ctx, _, stop := transfer.Limit{Begin: w.settings.Timeout}.Start(ctx, w.settings.Clock)
+	defer stop()
 	if source != storeSource {
 		return w.settings.Peers.ConfigurationPart(ctx, source, digest)
 	}
--- a/internal/peerclient/peerclient.go
+++ b/internal/peerclient/peerclient.go
@@ -31,6 +31,7 @@
 	"example.org/lagoonfork/internal/ledger/committer"
 	"example.org/lagoonfork/internal/membership"
 	"example.org/lagoonfork/internal/replay"
+	"example.org/lagoonfork/internal/transfer"
 	"example.org/lagoonfork/internal/wallet"
 	"example.org/lagoonfork/pkg/ident"
 	"example.org/lagoonfork/pkg/store"
@@ -93,7 +94,9 @@
 	Self    ident.Incarnation
 	Domain  ident.FailureDomain
 	Secret  string
-	Timeout time.Duration // for calls that the peer answers at once
+	// Timeout bounds calls that the peer answers at once. A large response may take
+	// longer; see transfer.Limit.
+	Timeout time.Duration
 	Clock   func() time.Time
 }
 
@@ -267,14 +270,14 @@
 }
 
 // call sends in as JSON, or no body if in is nil, and decodes the response. The error wraps
-// dispatch.ErrUnreachable if the peer did not respond within timeout, or is that of
-// statusError.
+// dispatch.ErrUnreachable if the response did not begin within timeout or did not arrive,
+// or is that of statusError.
 func call[T any](ctx context.Context, c *Client, timeout time.Duration, method string, address netip.AddrPort, path string, in any) (out T, err error) {
 	if c.closed.Load() {
 		return out, dispatch.ErrUnreachable
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
+	ctx, _, stop := transfer.Limit{Begin: timeout}.Start(ctx, c.settings.Clock)
+	defer stop()
 	request, err := c.request(ctx, method, address, path, in)
 	if err != nil {
 		return out, err
@@ -284,7 +287,7 @@
 		return out, fmt.Errorf("%w: %w", dispatch.ErrUnreachable, err)
 	}
 	defer func() { _ = response.Body.Close() }() // the body has been read
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxBodyBytes))
+	data, err := io.ReadAll(transfer.Reader(ctx, io.LimitReader(response.Body, maxBodyBytes)))
 	if err != nil {
 		return out, fmt.Errorf("%w: %w", dispatch.ErrUnreachable, err)
 	}
