Do not wait for a slow copy once another one has arrived

A router without the service asks two others for their copies and waited for both. Once one copy has arrived, the other gets as long as a read may take. A relay whose deltas cannot be applied is left for a while, as one that fails.

TestSlowPeerDoesNotDelayCopyOfAnother failed before (condition never satisfied after 10 s).

--- a/internal/mirror/peer.go
+++ b/internal/mirror/peer.go
@@ -135,27 +135,39 @@
 	return peers[:min(len(peers), peerFanout)]
 }
 
-// fetchFromPeers fetches the copies of some random peers and keeps the newest.
+// fetchFromPeers fetches the copies of some random peers and keeps the newest. Once one
+// has arrived, it does not wait for slower ones for longer than a read may take.
 func (m *Mirror) fetchFromPeers(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	peers := m.settings.Peers()
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	if len(peers) > peerFanout {
 		peers = peers[:peerFanout]
 	}
-	done := make(chan struct{}, len(peers))
+	done := make(chan bool, len(peers)) // whether a copy has arrived
 	for _, p := range peers {
 		go func() {
-			defer func() { done <- struct{}{} }()
 			s, err := m.fetch(ctx, p, m.settings.Timeout)
 			if err != nil {
 				event.MirrorNotFetched.Info(m.settings.Log, "mirror", m.settings.Name, "peer", p, "error", err)
-				return
+			} else {
+				m.adoptSnapshot(s, p)
 			}
-			m.adoptSnapshot(s, p)
+			done <- err == nil
 		}()
 	}
-	for range peers {
-		<-done
+	var enough <-chan time.Time
+	for pending := len(peers); pending > 0; {
+		select {
+		case arrived := <-done:
+			pending--
+			if arrived && enough == nil {
+				enough = time.After(m.settings.Timeout)
+			}
+		case <-enough:
+			cancel()
+		}
 	}
 }
 
--- a/internal/mirror/relay.go
+++ b/internal/mirror/relay.go
@@ -31,7 +31,7 @@
 type changesRequest struct {
 	After      store.Revision `json:"after"`
 	WaitMillis int64          `json:"waitMillis"`
-	// Held holds the revisions of the large entries that the requester has, by key. If
+	// Held has the revisions of the large entries that the requester holds, by key. If
 	// it is nil, the requester cannot apply deltas.
 	Held map[string]store.Revision `json:"held"`
 }
@@ -89,7 +89,9 @@
 		relayCtx, t := transfer.Start(ctx, m.settings.Clock)
 		err := m.relayLinks.Post(relayCtx, relay, ChangesPath+m.settings.Name, request, &response)
 		if err == nil {
-			err = m.unpackChanges(response, bases)
+			if err = m.unpackChanges(response, bases); err != nil {
+				m.relayLinks.StartBackoff(relay)
+			}
 		}
 		if err = m.metrics.record(sourceRelay, t, err); err != nil {
 			m.logRelayFailure(relay, from, t, err)
@@ -108,7 +110,7 @@
 // logRelayFailure logs that a read from a relay failed. Of consecutive refusals, as during
 // an outage of the service, it logs the first.
 func (m *Mirror) logRelayFailure(relay netip.AddrPort, from store.Revision, t *transfer.Transfer, err error) {
-	refused := errors.Is(err, store.ErrUnavailable) && t.Refused()
+	refused := errors.Is(err, store.ErrUnavailable) && t.Empty()
 	if !refused || !m.relayRefused {
 		event.RelayFailed.Info(m.settings.Log, "mirror", m.settings.Name, "relay", relay, "revision", from, "error", err)
 	}
--- a/internal/mirror/slow_test.go
+++ b/internal/mirror/slow_test.go
@@ -168,3 +168,28 @@
 	defer m.mu.Unlock()
 	assert.Equal(t, time.Unix(1, 0), m.serviceReadAt)
 }
+
+// TestSlowPeerDoesNotDelayCopyOfAnother guards against a router without the service that
+// waits for a peer whose copy does not end, while another one has the newest.
+func TestSlowPeerDoesNotDelayCopyOfAnother(t *testing.T) {
+	service := keyvalue.New(keyvalue.Settings{Seed: 1})
+	connected := newFixture(t, service)
+	good := httptest.NewServer(connected.mirror)
+	defer good.Close()
+	endless := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		for r.Context().Err() == nil {
+			_, _ = w.Write(bytes.Repeat([]byte(" "), 64<<10))
+			w.(http.Flusher).Flush()
+			time.Sleep(100 * time.Millisecond)
+		}
+	}))
+	defer endless.Close()
+	disconnected := newFixture(t, service, netip.MustParseAddrPort(good.Listener.Addr().String()), netip.MustParseAddrPort(endless.Listener.Addr().String()))
+	disconnected.source.unavailable.Store(true)
+	for i := range 3 {
+		value := fmt.Sprint(i)
+		connected.put(t, "a", value)
+		connected.waitFor(t, "a", value)
+		disconnected.waitFor(t, "a", value)
+	}
+}
--- a/internal/transfer/transfer.go
+++ b/internal/transfer/transfer.go
@@ -113,8 +113,8 @@
 	return t.received
 }
 
-// Refused reports whether the response has arrived without a body.
-func (t *Transfer) Refused() bool {
+// Empty reports whether the response has begun, but nothing of its body has arrived.
+func (t *Transfer) Empty() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return !t.begun.IsZero() && t.received == 0
