--- a/internal/mirror/slow_test.go
+++ b/internal/mirror/slow_test.go
@@ -105,6 +105,7 @@
 		routes = append(routes, newRoutes(1)...)
 		before := f.link.Sent()
 		f.replicate(t, routes)
+		t.Logf("%d bytes sent for a change of %d", f.link.Sent()-before, len(routes))
 		assert.Less(t, f.link.Sent()-before, int64(len(routes)/20))
 	}
 }
