The time on the way is not estimated for relays of earlier releases

A relay of the release before does not say how long it waited for changes, so that while a fleet is upgraded its copies counted as 0.4 s older (4 s for records of routers), and were refused more often than before. Its age is taken as it was before: from the arrival of the response. TestTimeOnTheWayCountsAsAge has the case.

--- a/internal/mirror/relay.go
+++ b/internal/mirror/relay.go
@@ -43,9 +43,10 @@
 	// Deltas lead to the values of large entries, by key. These have no value in Changes.
 	Deltas map[string][]delta.Delta `json:"deltas,omitempty"`
 	// AgeMillis is the time since the service itself was last read. WaitedMillis is the
-	// time for which the relay waited for changes.
-	AgeMillis    int64 `json:"ageMillis"`
-	WaitedMillis int64 `json:"waitedMillis"`
+	// time for which the relay waited for changes. Routers of earlier releases leave it
+	// out.
+	AgeMillis    int64  `json:"ageMillis"`
+	WaitedMillis *int64 `json:"waitedMillis,omitempty"`
 	// UnconfirmedDeletions lists the keys of entries whose leases may have expired
 	// only because the relay had lost the service.
 	UnconfirmedDeletions []string `json:"doubtful,omitempty"`
@@ -63,9 +64,13 @@
 
 // serviceReadAt returns the time of the last read of the service itself, for a response
 // that arrived now to a request sent at the given time. The time on the way counts as age,
-// because the response may have been delayed.
+// because the response may have been delayed, unless the relay does not say how long it
+// waited.
 func (r changesResponse) serviceReadAt(sent, now time.Time) time.Time {
-	waited := min(time.Duration(r.WaitedMillis)*time.Millisecond, now.Sub(sent))
+	waited := now.Sub(sent)
+	if r.WaitedMillis != nil {
+		waited = min(time.Duration(*r.WaitedMillis)*time.Millisecond, waited)
+	}
 	return sent.Add(max(waited, 0) - time.Duration(max(r.AgeMillis, 0))*time.Millisecond)
 }
 
@@ -156,7 +161,8 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
-		response.WaitedMillis = m.settings.Clock().Sub(received).Milliseconds()
+		waited := m.settings.Clock().Sub(received).Milliseconds()
+		response.WaitedMillis = &waited
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(response) // the client detects a truncated response
 	})
--- a/internal/mirror/relay_test.go
+++ b/internal/mirror/relay_test.go
@@ -118,8 +118,9 @@
 		{5000, 300, 700 * time.Millisecond},
 		{-5, -5, 0},
 	} {
-		assert.Equal(t, sent.Add(c.want), changesResponse{WaitedMillis: c.waited, AgeMillis: c.age}.serviceReadAt(sent, now))
+		assert.Equal(t, sent.Add(c.want), changesResponse{WaitedMillis: &c.waited, AgeMillis: c.age}.serviceReadAt(sent, now))
 	}
+	assert.Equal(t, now.Add(-300*time.Millisecond), changesResponse{AgeMillis: 300}.serviceReadAt(sent, now), "a relay of an earlier release")
 }
 
 // TestEquivalentChangeIsNotRelayed checks that a change to an equivalent value is
