--- a/internal/history/history.go
+++ b/internal/history/history.go
@@ -42,7 +42,7 @@
 	for len(recent) > maxDeltas || size(recent) > maxBytes {
 		recent = recent[1:]
 	}
-	h.recent[key] = slices.Clip(recent)
+	h.recent[key] = recent
 }
 
 // Since returns deltas that lead from the version held to e, which is the newest version
