Log the parts and the progress of lost attempts, and the crashes that are counted

Event 132 now names the parts of the prompt and whether a response had begun; the keeper logs each crash that it counts (317) and each clearing (318). No decision changes.

--- a/internal/event/forward.go
+++ b/internal/event/forward.go
@@ -7,7 +7,7 @@
 	ForwardSent = define(131, "request sent",
 		"A request was sent to an upstream. Fields: upstream, attempt, resumes, after (the last event received before a resumption), left (time until the deadline).")
 	ForwardFailed = define(132, "attempt failed",
-		"An upstream returned no usable answer. Fields: upstream, reason, run (whether the request may have run), took, events.")
+		"An upstream returned no usable answer. Fields: upstream, reason, run (whether the request may have run), took, events, answerBegan (whether the header of a response was received), parts (of the prompt).")
 	ForwardEnded = define(133, "request ended",
 		"A forwarded request received its final answer. Fields: status, outcome, upstream, attempts, runs, events, customer, cost, prompt, firstEvent, longestGap, took.")
 	ForwardRefused = define(134, "request not forwarded",
--- a/internal/event/routing.go
+++ b/internal/event/routing.go
@@ -22,6 +22,10 @@
 		"The watch of the list of crashing requests has ended; the list is polled until a new watch is established. Fields: error.")
 	QuarantineNotForwarded = define(316, "quarantine not passed",
 		"Another router did not accept this router's changes to the list of crashing requests. This router writes them itself. Fields: error.")
+	CrashRecorded = define(317, "crash recorded",
+		"An upstream ended while it ran a request, which is counted as a possible cause. Fields: digest, upstream.")
+	CrashesCleared = define(318, "crashes cleared",
+		"A request that was a possible cause of crashes has completed; its crashes no longer count. Fields: digest.")
 	LoadNotRead = define(311, "load not read",
 		"An upstream did not report its load. It temporarily receives no new requests.")
 	VMListNotRead = define(314, "list of VMs not read",
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -49,6 +49,7 @@
 	table.Begin(u.ID)
 	defer func() { table.End(t.now(), u.ID, t.upstreamOutcome(out)) }()
 	response, err := t.send(u)
+	t.answerBegan = err == nil
 	if err != nil {
 		var failure *exchange.Failure
 		if errors.As(err, &failure) && !failure.Sent {
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -52,6 +53,15 @@
 // maxCost returns the maximum number of tokens that the request can cost.
 func (r *Request) maxCost() tokens.Count { return r.PromptTokens + r.MaxOutputTokens }
 
+// partIDs returns the identifiers of the parts of the prompt, separated by commas.
+func (r *Request) partIDs() string {
+	ids := make([]string, len(r.Parts))
+	for i, p := range r.Parts {
+		ids[i] = p.ID
+	}
+	return strings.Join(ids, ",")
+}
+
 // affinityKey returns the hash of the parts that other requests may share, which
 // are all but the last one, or 0 if there are none.
 func (r *Request) affinityKey() uint64 {
--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -44,6 +44,8 @@
 	tried []ident.Upstream // in the order of the attempts
 	runs  int              // attempts that may have run the request
 
+	answerBegan bool // whether the current attempt received the header of a response
+
 	headerWritten bool  // whether the response header was written to the caller
 	lastEventID   int64 // of the last event sent to the caller
 	eventsSent    int   // to the caller
@@ -82,7 +84,8 @@
 			return
 		}
 		event.ForwardFailed.Info(t.f.settings.Log, "request", t.r.ID, "upstream", u.ID, "reason", err,
-			"run", out == outcomeLost || out == outcomeServerError, "took", t.now().Sub(t.r.Arrived), "events", t.eventsSent)
+			"run", out == outcomeLost || out == outcomeServerError, "took", t.now().Sub(t.r.Arrived), "events", t.eventsSent,
+			"answerBegan", t.answerBegan, "parts", t.r.partIDs())
 		if out == outcomeLost && t.ctx.Err() == nil && connectionLost(err) {
 			t.f.settings.RecordCrash(t.now(), t.digest, u.ID)
 		}
--- a/internal/quarantine/keeper/keeper.go
+++ b/internal/quarantine/keeper/keeper.go
@@ -113,6 +113,7 @@
 	changed := k.list.RecordCrash(now, d, upstream)
 	k.mu.Unlock()
 	if changed {
+		event.CrashRecorded.Info(k.settings.Log, "digest", d, "upstream", upstream)
 		k.enqueue(quarantine.Change{At: now, Digest: d, Upstream: upstream})
 	}
 }
@@ -123,6 +124,7 @@
 	changed := k.list.Clear(d)
 	k.mu.Unlock()
 	if changed {
+		event.CrashesCleared.Info(k.settings.Log, "digest", d)
 		k.enqueue(quarantine.Change{Digest: d})
 	}
 }
