--- a/internal/forward/harness_test.go
+++ b/internal/forward/harness_test.go
@@ -112,6 +112,7 @@
 	wallet    *wallet.Wallet
 	forwarder *Forwarder
 	server    *httptest.Server
+	servers   []*httptest.Server // of the upstreams
 	request   func(h *http.Request) *Request
 }
 
@@ -131,6 +132,7 @@
 	for i, u := range upstreams {
 		s := httptest.NewServer(http.HandlerFunc(u))
 		t.Cleanup(s.Close)
+		f.servers = append(f.servers, s)
 		listed = append(listed, roster.Upstream{
 			ID: ident.Upstream("u" + strconv.Itoa(i)), Service: "s", Slots: 8,
 			Address: netip.MustParseAddrPort(s.Listener.Addr().String()),
