keeper: a crash recorded while the list is read is not forgotten

Callers: a request that had reached the crash limit could run again until the change of the last crash was written. Cause: the change was added to the pending ones after the lock had been released, so that a list read in between replaced the one in memory without it. Fix: the list and the pending changes are changed under one lock.

--- a/internal/quarantine/keeper/keeper.go
+++ b/internal/quarantine/keeper/keeper.go
@@ -111,10 +111,13 @@
 func (k *Keeper) RecordCrash(now time.Time, d quarantine.Digest, upstream ident.Upstream) {
 	k.mu.Lock()
 	changed := k.list.RecordCrash(now, d, upstream)
+	if changed {
+		k.pending = append(k.pending, quarantine.Change{At: now, Digest: d, Upstream: upstream})
+	}
 	k.mu.Unlock()
 	if changed {
 		event.CrashRecorded.Info(k.settings.Log, "digest", d, "upstream", upstream)
-		k.enqueue(quarantine.Change{At: now, Digest: d, Upstream: upstream})
+		k.requestSync()
 	}
 }
 
@@ -122,10 +125,13 @@
 func (k *Keeper) Clear(d quarantine.Digest) {
 	k.mu.Lock()
 	changed := k.list.Clear(d)
+	if changed {
+		k.pending = append(k.pending, quarantine.Change{Digest: d})
+	}
 	k.mu.Unlock()
 	if changed {
 		event.CrashesCleared.Info(k.settings.Log, "digest", d)
-		k.enqueue(quarantine.Change{Digest: d})
+		k.requestSync()
 	}
 }
 
@@ -154,8 +160,10 @@
 	}
 	k.peerChanges = true
 	k.list.Apply(changes)
+	k.pending = append(k.pending, changes...)
+	last := k.writtenCount + len(k.pending)
 	k.mu.Unlock()
-	last := k.enqueue(changes...)
+	k.requestSync()
 	for {
 		k.mu.Lock()
 		written, progress := k.writtenCount, k.progress
@@ -173,17 +181,6 @@
 	}
 }
 
-// enqueue appends changes to the pending ones and requests a sync. It returns the
-// value that writtenCount reaches once these changes are written.
-func (k *Keeper) enqueue(changes ...quarantine.Change) (last int) {
-	k.mu.Lock()
-	k.pending = append(k.pending, changes...)
-	last = k.writtenCount + len(k.pending)
-	k.mu.Unlock()
-	k.requestSync()
-	return last
-}
-
 // requestSync wakes the loop. The sync follows after Linger.
 func (k *Keeper) requestSync() {
 	select {
--- a/internal/quarantine/keeper/keeper_test.go
+++ b/internal/quarantine/keeper/keeper_test.go
@@ -155,3 +155,29 @@
 	assert.Eventually(t, func() bool { return other.IsSuspect(now, "own") }, waitTimeout, tick)
 	assert.Equal(t, before, c.reads.Load())
 }
+
+// slowLog is a log output that takes its time.
+type slowLog struct{}
+
+func (slowLog) Write(p []byte) (int, error) {
+	time.Sleep(10 * tick)
+	return len(p), nil
+}
+
+// unwatchedStore is a store that cannot be watched, so that the list is read all the time.
+type unwatchedStore struct{ store.Store }
+
+func (unwatchedStore) Watch(context.Context, string, store.Revision) (store.Watch, error) {
+	return nil, store.ErrUnavailable
+}
+
+// TestCrashIsKnownWhileTheListIsRead guards against a list that is read while a crash is recorded and replaces the one that has it.
+func TestCrashIsKnownWhileTheListIsRead(t *testing.T) {
+	k := New(Settings{
+		Store: unwatchedStore{keyvalue.New(keyvalue.Settings{}).Client()}, Clock: func() time.Time { return now },
+		Log: hclog.New(&hclog.LoggerOptions{Output: slowLog{}}), Interval: tick,
+	})
+	t.Cleanup(func() { assert.NoError(t, k.Close()) })
+	k.RecordCrash(now, "d", "u1")
+	assert.True(t, k.IsSuspect(now, "d"))
+}
