--- a/internal/callerapi/prompt.go
+++ b/internal/callerapi/prompt.go
@@ -33,7 +33,7 @@
 	outputLimit  tokens.Count               // 0 if the request sets none
 	text         string                     // the texts of all messages, joined
 	promptBound  tokens.Count               // upper bound of the prompt's tokens
-	messages     int                        // number of messages
+	messages     []string                   // the texts of the messages
 	fields       map[string]json.RawMessage // all fields of the body, sent to the engine
 }
 
@@ -145,9 +145,9 @@
 			partTexts[i] = content
 		}
 		text.WriteString(content)
+		p.messages = append(p.messages, content)
 	}
 	p.text = text.String()
-	p.messages = len(messages)
 	defer p.joinTextParts(partTexts)
 	p.promptBound = tokens.Count(len(p.fields["messages"])) + messageOverhead*tokens.Count(len(messages))
 	for _, name := range []string{"tools", "functions", "response_format"} {
@@ -234,6 +234,7 @@
 		Model:           p.model,
 		Body:            body,
 		PromptText:      p.text,
+		Messages:        p.messages,
 		PromptTokens:    tokens.Count(len(p.text)/bytesPerToken) + 1,
 		MaxOutputTokens: p.outputLimit,
 		Priority:        c.application.Priority,
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -12,6 +12,7 @@
 	"example.org/lagoonfork/internal/engineclient"
 	"example.org/lagoonfork/internal/event"
 	"example.org/lagoonfork/internal/plainclient"
+	"example.org/lagoonfork/internal/quarantine/keeper"
 	"example.org/lagoonfork/internal/refusal"
 	"example.org/lagoonfork/internal/retry"
 	"example.org/lagoonfork/internal/routing"
@@ -32,13 +33,29 @@
 // of the answer that an earlier attempt has already appended.
 var errDiverged = errors.New("answers of two attempts differ")
 
-// errQuarantined reports that the request has crashed too many upstreams.
-var errQuarantined = errors.New("request quarantined")
+var (
+	// errQuarantined reports that the request, or a part of its prompt, has crashed too
+	// many upstreams.
+	errQuarantined = errors.New("request quarantined")
+	// errSuspectRunning reports that another request with the same suspect content or
+	// part is running.
+	errSuspectRunning = errors.New("another request that may crash upstreams in the same way is running")
+)
 
-// isQuarantined reports whether the request is quarantined, so that all routers
-// refuse it.
-func (x *run) isQuarantined() bool {
-	return x.d.Quarantine.IsQuarantined(x.d.Clock(), x.contentDigest, x.d.Policy().CrashLimit)
+// begin has the quarantine decide on the next attempt. The attempt before has then ended,
+// too.
+func (x *run) begin() error {
+	if x.admission != nil {
+		x.admission.End()
+	}
+	x.admission = x.d.Quarantine.Begin(x.d.Clock(), x.subject, x.d.Policy().CrashLimit)
+	switch x.admission.Verdict {
+	case keeper.Refused:
+		return errQuarantined
+	case keeper.Busy:
+		return errSuspectRunning
+	}
+	return nil
 }
 
 // attemptResult is the result of a completed attempt.
@@ -53,15 +70,15 @@
 	budget := x.service.RetryBudget(x.r.Customer)
 	budget.Deposit()
 	for n := 1; ; n++ {
-		if n > 1 && x.isQuarantined() {
-			return attemptResult{}, errQuarantined
+		if err := x.begin(); err != nil {
+			return attemptResult{}, err
 		}
 		result, err := x.runAttempt(ctx, n)
 		if err == nil {
 			return result, nil
 		}
 		var existing *claimExistsError
-		if errors.As(err, &existing) || ctx.Err() != nil {
+		if errors.As(err, &existing) || errors.Is(err, errQuarantined) || ctx.Err() != nil {
 			return attemptResult{}, err
 		}
 		d := retry.Decide(x.d.Clock(), x.retryFailure(n, err), budget, x.rng)
@@ -114,12 +131,17 @@
 	if x.r.Keyed && x.r.Idempotent {
 		x.openClaim(up.ID)
 	}
-	suspect := x.d.Quarantine.IsSuspect(x.d.Clock(), x.contentDigest)
-	inFlight := x.service.Table.Start(x.d.Clock(), up.ID, x.estimatedTokens(), suspect)
+	inFlight := x.service.Table.Start(x.d.Clock(), up.ID, x.estimatedTokens(), x.admission.Suspect)
 	var observation routing.Observation
 	defer func() { x.service.Table.Finish(x.d.Clock(), inFlight, observation) }()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	x.admission.OnRevoked(func() { cancel(errQuarantined) })
 	result, observation, err = x.dispatch(ctx, up, ident.Attempt(fmt.Sprintf("%s-%d", x.attempt, n)), decision.Reason == routing.ReasonPrefixCached)
 	x.handleAttemptError(up, err)
+	if err != nil && errors.Is(context.Cause(ctx), errQuarantined) {
+		return result, errQuarantined
+	}
 	return result, err
 }
 
@@ -136,7 +158,7 @@
 	if errors.Is(err, engineclient.ErrCrashed) {
 		x.d.Metrics.Crash()
 		event.RequestAccused.Warn(x.d.Log, "upstream", up.ID, "request", x.r.ID)
-		x.d.Quarantine.RecordCrash(x.d.Clock(), x.contentDigest, up.ID)
+		x.admission.RecordLoss(x.d.Clock(), keeper.Loss{Upstream: up.ID, Ended: true, AnswerBegan: x.answerBegan})
 		x.service.Table.InvalidateCache(up.ID)
 	}
 }
@@ -166,7 +188,7 @@
 func (x *run) query(now time.Time) routing.Query {
 	q := routing.Query{
 		Exclude: slices.Clone(x.tried),
-		Isolate: x.d.Quarantine.IsSuspect(now, x.contentDigest),
+		Isolate: x.admission.Suspect,
 	}
 	if c := x.r.Chat; c != nil {
 		q.Model = c.Model
@@ -215,7 +237,7 @@
 // answer.
 func (x *run) runChat(ctx context.Context, up configuration.Upstream, attempt ident.Attempt, prefixExpected bool) (result attemptResult, observation routing.Observation, err error) {
 	started := x.d.Clock()
-	x.position = 0
+	x.position, x.answerBegan = 0, false
 	request := ident.Request(x.r.key())
 	stream, err := x.d.EngineClient.Start(ctx, up, engineclient.Run{
 		Request:   request,
@@ -231,6 +253,7 @@
 		return attemptResult{}, routing.Observation{UpstreamFailed: isUpstreamFailure(ctx, err)}, err
 	}
 	defer func() { _ = stream.Close() }() // only releases the connection
+	x.answerBegan = true
 	x.service.Table.ExpectCached(up.ID, routing.PrefixOf(x.r.Chat.PromptText))
 	end, firstToken, err := x.readStream(ctx, stream)
 	if err != nil {
@@ -263,6 +286,7 @@
 		}
 		if firstToken.IsZero() {
 			firstToken = x.d.Clock()
+			x.admission.RecordAnswer(firstToken)
 		}
 		if err := x.handleEvent(ctx, e, &end); err != nil {
 			return end, firstToken, err
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -38,6 +38,7 @@
 	"example.org/lagoonfork/internal/metrics"
 	"example.org/lagoonfork/internal/plainclient"
 	"example.org/lagoonfork/internal/quarantine"
+	"example.org/lagoonfork/internal/quarantine/keeper"
 	"example.org/lagoonfork/internal/replay"
 	"example.org/lagoonfork/internal/wallet"
 	"example.org/lagoonfork/pkg/configuration"
@@ -93,12 +94,10 @@
 	Push(op ledger.Op, done func(ledger.Result))
 }
 
-// Quarantine tracks the requests that crash upstreams. See package keeper.
+// Quarantine decides which requests may run, and tracks those that crash upstreams. See
+// package keeper.
 type Quarantine interface {
-	IsQuarantined(now time.Time, d quarantine.Digest, limit int) bool
-	IsSuspect(now time.Time, d quarantine.Digest) bool
-	RecordCrash(now time.Time, d quarantine.Digest, upstream ident.Upstream)
-	Clear(d quarantine.Digest)
+	Begin(now time.Time, s quarantine.Subject, limit int) *keeper.Attempt
 }
 
 // Errors of Peers.
@@ -150,9 +149,11 @@
 
 // Chat is a chat completion.
 type Chat struct {
-	Model           ident.Model
-	Body            []byte // with its token limits filled in
-	PromptText      string // the prompt, from which the prefix is computed
+	Model      ident.Model
+	Body       []byte // with its token limits filled in
+	PromptText string // the prompt, from which the prefix is computed
+	// Messages holds the texts of the prompt's messages, in order.
+	Messages        []string
 	PromptTokens    tokens.Count
 	MaxOutputTokens tokens.Count
 	Priority        int // passed to the engine; higher runs first
@@ -175,13 +176,12 @@
 	return replay.Key(string(budget) + "/" + string(request))
 }
 
-// contentDigest returns the digest under which crashes of the request are
-// counted.
-func (r *Request) contentDigest() quarantine.Digest {
+// subject describes the request to the quarantine.
+func (r *Request) subject() quarantine.Subject {
 	if r.Chat != nil {
-		return quarantine.DigestOf(r.Customer, r.Service, r.Chat.Body)
+		return quarantine.NewSubject(r.Customer, r.Service, r.Chat.Body, r.Chat.Messages)
 	}
-	return quarantine.DigestOf(r.Customer, r.Service, r.Call.Forward.Body)
+	return quarantine.NewSubject(r.Customer, r.Service, r.Call.Forward.Body, nil)
 }
 
 // New returns a dispatcher. Close stops it.
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -12,6 +12,7 @@
 	"example.org/lagoonfork/internal/event"
 	"example.org/lagoonfork/internal/ledger"
 	"example.org/lagoonfork/internal/quarantine"
+	"example.org/lagoonfork/internal/quarantine/keeper"
 	"example.org/lagoonfork/internal/refusal"
 	"example.org/lagoonfork/internal/replay"
 	"example.org/lagoonfork/internal/wallet"
@@ -20,19 +21,21 @@
 
 // run is the execution of one request. It is used by a single goroutine.
 type run struct {
-	d             *Dispatcher
-	r             *Request
-	answer        *replay.Answer[string, End]
-	attempt       ident.Attempt // identifies the run in its claim; each dispatch appends a number
-	contentDigest quarantine.Digest
-	rng           *rand.Rand
+	d       *Dispatcher
+	r       *Request
+	answer  *replay.Answer[string, End]
+	attempt ident.Attempt // identifies the run in its claim; each dispatch appends a number
+	subject quarantine.Subject
+	rng     *rand.Rand
 
 	service     *directory.Service
 	reservation *wallet.Reservation
 	claim       claim
 	position    int              // number of pieces that the current attempt has produced
 	mayHaveRun  bool             // an upstream may have run the request
+	admission   *keeper.Attempt  // of the current attempt by the quarantine
 	tried       []ident.Upstream // upstreams of the attempts so far
+	answerBegan bool             // the engine has begun to respond in the current attempt
 }
 
 // produce runs the request through all stages and returns the end of the
@@ -58,10 +61,11 @@
 		return x.refuse(refusal.New(refusal.NotFound, "service %s is not configured", x.r.Service))
 	}
 	x.service = service
-	if x.isQuarantined() {
+	if err := x.begin(); errors.Is(err, errQuarantined) {
 		event.RequestQuarantined.Warn(x.d.Log, "request", x.r.ID, "customer", x.r.Customer)
 		return x.refuse(refusal.New(refusal.Quarantined, "this request has crashed several upstreams"))
 	}
+	x.admission.End() // the request may wait, so that each attempt begins anew
 	reservation, err := x.d.Wallet.Reserve(ctx, now, wallet.Request{
 		Budget:   x.r.Budget.ID,
 		Funding:  x.funding(),
@@ -119,11 +123,12 @@
 			return x.handleFailure(ctx, err)
 		}
 	}
+	defer func() { x.admission.End() }()
 	result, err := x.runAttempts(ctx)
 	if err != nil {
 		return x.handleFailure(ctx, err)
 	}
-	x.d.Quarantine.Clear(x.contentDigest)
+	x.admission.RecordCompletion(x.d.Clock())
 	return x.settle(ctx, result)
 }
 
@@ -148,6 +153,8 @@
 	case errors.Is(err, errQuarantined):
 		event.RequestQuarantined.Warn(x.d.Log, "request", x.r.ID, "customer", x.r.Customer)
 		return refusal.NewMayHaveRun(refusal.Quarantined, "this request has crashed several upstreams")
+	case errors.Is(err, errSuspectRunning) && !x.mayHaveRun:
+		return refusal.New(refusal.Overloaded, "%v", errSuspectRunning).WithRetryAfter(shortRetryDelay)
 	case x.mayHaveRun && !x.r.Idempotent:
 		return refusal.NewMayHaveRun(refusal.OutcomeUnknown, "the upstream may have run the request, which is not idempotent")
 	case errors.Is(err, errDiverged):
--- a/internal/dispatch/submit.go
+++ b/internal/dispatch/submit.go
@@ -94,12 +94,12 @@
 // newRun returns a run that writes to the given answer.
 func (d *Dispatcher) newRun(r *Request, answer *replay.Answer[string, End]) *run {
 	return &run{
-		d:             d,
-		r:             r,
-		answer:        answer,
-		contentDigest: r.contentDigest(),
-		attempt:       ident.Attempt(fmt.Sprintf("%s.%d", d.Holder, d.sequence.Add(1))),
-		rng:           newRand(),
+		d:       d,
+		r:       r,
+		answer:  answer,
+		subject: r.subject(),
+		attempt: ident.Attempt(fmt.Sprintf("%s.%d", d.Holder, d.sequence.Add(1))),
+		rng:     newRand(),
 	}
 }
 
--- a/internal/edge/defaults.go
+++ b/internal/edge/defaults.go
@@ -63,8 +63,13 @@
 	// crash upstreams.
 	quarantineInterval = 4 * time.Second
 	// quarantineLinger is how long a change waits to be batched with others.
-	// Quarantining a request may take some seconds, so the delay is acceptable.
+	// The other routers have received it directly by then.
 	quarantineLinger = 400 * time.Millisecond
+	// quarantineTrialSpread is the time over which the routers try a request again after
+	// the term of its quarantine.
+	quarantineTrialSpread = time.Minute
+	// broadcastTimeout bounds the call that sends changes of the list to another router.
+	broadcastTimeout = 400 * time.Millisecond
 	// dutyTimeout bounds a call to a router that writes on behalf of all routers.
 	// That router batches writes and may have to repeat one after a conflict.
 	dutyTimeout = 1500 * time.Millisecond
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -17,6 +17,7 @@
 	"context"
 	"errors"
 	"expvar"
+	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -42,6 +43,7 @@
 	"example.org/lagoonfork/internal/pageowner"
 	"example.org/lagoonfork/internal/presence"
 	"example.org/lagoonfork/internal/quarantine"
+	"example.org/lagoonfork/internal/quarantine/broadcast"
 	"example.org/lagoonfork/internal/quarantine/keeper"
 	"example.org/lagoonfork/internal/quarantine/writer"
 	"example.org/lagoonfork/internal/repeats"
@@ -128,6 +130,7 @@
 	pool           *exchange.Pool
 	duties         *duty.Caller
 	quarantine     *keeper.Keeper
+	broadcast      *broadcast.Sender // of changes of the quarantine list
 	roster         *roster.Roster
 	intake         *intake.Intake
 	endpoints      []*endpoint
@@ -193,7 +196,7 @@
 		Name: "upstreams", Prefix: upstreams, Interval: mirrorInterval, PollWait: mirrorPollWait, RelayWait: relayWait, Equivalent: s.Translator.SameUpstream,
 	})
 	r.quarantineList = r.newMirror(mirror.Settings{
-		Name: "quarantine", Prefix: quarantine.Key, Interval: mirrorInterval, PollWait: relaxedPollWait, RelayWait: relayWait, MinCallInterval: relaxedCallInterval,
+		Name: "suspects", Prefix: quarantine.Key, Interval: mirrorInterval, PollWait: relaxedPollWait, RelayWait: relayWait, MinCallInterval: relaxedCallInterval,
 	})
 	r.presence = presence.Start(presence.Settings{
 		Store: s.Store,
@@ -225,14 +228,23 @@
 		Log:               s.Log,
 		Interval:          walletInterval,
 	})
+	r.broadcast = broadcast.New(broadcast.Settings{
+		Peers:      r.peerAddresses,
+		OnAnswered: func(now time.Time, digests ...quarantine.Digest) { r.quarantine.Clear(now, digests...) },
+		Timeout:    broadcastTimeout,
+		Clock:      s.Clock,
+		Log:        s.Log,
+	})
 	r.quarantine = keeper.New(keeper.Settings{
-		Store:    s.Store,
-		Mirror:   r.quarantineList,
-		Writer:   writer.New(r.duties),
-		Linger:   quarantineLinger,
-		Clock:    s.Clock,
-		Log:      s.Log,
-		Interval: quarantineInterval,
+		Store:      s.Store,
+		Mirror:     r.quarantineList,
+		Writer:     writer.New(r.duties),
+		Peers:      r.broadcast,
+		TrialDelay: rand.N(quarantineTrialSpread),
+		Linger:     quarantineLinger,
+		Clock:      s.Clock,
+		Log:        s.Log,
+		Interval:   quarantineInterval,
 	})
 	r.pool = exchange.NewPool(exchange.Settings{ConnectTimeout: connectTimeout, IdleLimit: upstreamIdleTimeout, Clock: s.Clock})
 	r.intake = intake.New(intake.Settings{
@@ -284,7 +296,7 @@
 // mirrors returns all mirrors by name.
 func (r *Router) mirrors() map[string]*mirror.Mirror {
 	return map[string]*mirror.Mirror{
-		"configuration": r.configurations, "upstreams": r.upstreams, "routers": r.routerRecords, "quarantine": r.quarantineList,
+		"configuration": r.configurations, "upstreams": r.upstreams, "routers": r.routerRecords, "suspects": r.quarantineList,
 	}
 }
 
@@ -340,7 +352,7 @@
 	err = errors.Join(err, r.tomb.Wait())
 	closing, done := context.WithTimeout(context.Background(), closeTimeout)
 	defer done()
-	err = errors.Join(err, r.wallet.Close(closing), r.ledger.Close(closing), r.quarantine.Close(), <-deregistered)
+	err = errors.Join(err, r.wallet.Close(closing), r.ledger.Close(closing), r.quarantine.Close(), r.broadcast.Close(), <-deregistered)
 	for _, m := range r.mirrors() {
 		err = errors.Join(err, m.Close())
 	}
--- a/internal/edge/endpoint.go
+++ b/internal/edge/endpoint.go
@@ -17,6 +17,8 @@
 	"example.org/lagoonfork/internal/lending"
 	"example.org/lagoonfork/internal/mirror"
 	"example.org/lagoonfork/internal/pageowner"
+	"example.org/lagoonfork/internal/quarantine/broadcast"
+	"example.org/lagoonfork/internal/quarantine/inspection"
 	"example.org/lagoonfork/internal/quarantine/writer"
 )
 
@@ -74,6 +76,9 @@
 	mux.Handle(pat.Get(MetricsPath), r.metrics)
 	mux.Handle(pat.Post(pageowner.Path+":page"), pageowner.Handler(r.ledger))
 	mux.Handle(pat.Post(writer.Path), writer.Handler(r.quarantine))
+	mux.Handle(pat.Post(broadcast.Path), r.broadcast.Handler(r.quarantine))
+	mux.Handle(pat.Get(inspection.Path), inspection.List(r.quarantine))
+	mux.Handle(pat.Delete(inspection.Path+"/:digest"), inspection.Clear(r.quarantine, r.settings.Clock))
 	mux.Handle(pat.Post(lending.Path+"/:kind"), lending.Handler(lending.HandlerSettings{
 		Lender: r.wallet, Clock: r.settings.Clock, Log: r.settings.Log,
 	}))
--- a/internal/embedded/embedded_test.go
+++ b/internal/embedded/embedded_test.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -95,6 +96,7 @@
 
 // chatRequest describes a chat completion request.
 type chatRequest struct {
+	system         string // text of a first message, if not empty
 	prompt         string
 	maxTokens      int
 	stream         bool
@@ -106,11 +108,15 @@
 // send posts a chat completion request to the server at base and reads the
 // whole response.
 func send(ctx context.Context, base string, req chatRequest) (r chatResponse, err error) {
+	messages := []map[string]string{{"role": "user", "content": req.prompt}}
+	if req.system != "" {
+		messages = slices.Insert(messages, 0, map[string]string{"role": "system", "content": req.system})
+	}
 	body, err := json.Marshal(map[string]any{
 		"model":      "test-model",
 		"max_tokens": req.maxTokens,
 		"stream":     req.stream,
-		"messages":   []map[string]string{{"role": "user", "content": req.prompt}},
+		"messages":   messages,
 	})
 	if err != nil {
 		return r, err
--- a/internal/embedded/failure_test.go
+++ b/internal/embedded/failure_test.go
@@ -219,6 +219,29 @@
 	}, waitTimeout, 100*time.Millisecond)
 }
 
+// TestCrashingMessageIsQuarantined guards against requests that crash one engine after the other because they share a message.
+func TestCrashingMessageIsQuarantined(t *testing.T) {
+	d := start(t, 2, nil)
+	for _, e := range d.Engines {
+		e.SetFaults(engine.Faults{CrashOn: "poison"})
+	}
+	crashes, refusedNotRun := 0, false
+	for i := 0; i < 8 && !refusedNotRun; i++ {
+		r, err := send(context.Background(), d.URL(i%2), chatRequest{system: "poison", prompt: fmt.Sprint("question ", i), maxTokens: 5})
+		require.NoError(t, err)
+		assert.False(t, r.complete)
+		crashes += restartCrashedEngines(d)
+		refusedNotRun = r.refusal.Code == "requestQuarantined" && r.refusal.NotRun
+		time.Sleep(100 * time.Millisecond) // pause before the caller's next request
+	}
+	assert.True(t, refusedNotRun)
+	assert.LessOrEqual(t, crashes, d.Answers.Policy.CrashLimit)
+	require.Eventually(t, func() bool {
+		r, err := send(context.Background(), d.URL(0), chatRequest{system: "sound", prompt: "question 0", maxTokens: 5})
+		return err == nil && r.complete
+	}, waitTimeout, 100*time.Millisecond)
+}
+
 // restartCrashedEngines restarts the crashed engines and returns their number.
 func restartCrashedEngines(d *Deployment) (n int) {
 	for _, e := range d.Engines {
--- a/internal/event/routing.go
+++ b/internal/event/routing.go
@@ -23,9 +23,13 @@
 	QuarantineNotForwarded = define(316, "quarantine not passed",
 		"Another router did not accept this router's changes to the list of crashing requests. This router writes them itself. Fields: error.")
 	CrashRecorded = define(317, "crash recorded",
-		"An upstream ended while it ran a request, which is counted as a possible cause. Fields: digest, upstream.")
+		"An upstream was lost while it ran a request, and the loss counts against the digest of the request's content or of a part of its prompt. Fields: digest, part, upstream, customer, prior (crashes that counted before), answerBegan, ended (whether the upstream is known to have ended).")
 	CrashesCleared = define(318, "crashes cleared",
-		"A request that was a possible cause of crashes has completed; its crashes no longer count. Fields: digest.")
+		"An answer to a request with a suspect digest began or was completed, or an operator cleared the digest; its crashes no longer count. Fields: digest.")
+	QuarantineNotBroadcast = define(319, "quarantine not broadcast",
+		"Another router did not accept this router's changes to the list of crashing requests directly; it reads them from the key-value service. Fields: peer, error.")
+	UpstreamEnded = define(320, "upstream lost",
+		"The connection to an upstream was lost before the answer to a request began, and a new connection was tried. Fields: upstream, ended (whether it was refused), error.")
 	LoadNotRead = define(311, "load not read",
 		"An upstream did not report its load. It temporarily receives no new requests.")
 	VMListNotRead = define(314, "list of VMs not read",
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -40,6 +40,7 @@
 	errServerError   = errors.New("upstream returned a server error")
 	errTooLarge      = errors.New("response body too large")
 	errCallerWrite   = errors.New("cannot write to the caller")
+	errRevoked       = errors.New("request was quarantined during the attempt")
 )
 
 // attempt sends the request to one upstream, forwards the response and records the
@@ -47,8 +48,17 @@
 func (t *transfer) attempt(u roster.Upstream) (out outcome, err error) {
 	table := t.f.settings.Roster.Service(t.r.Service.ID)
 	table.Begin(u.ID)
-	defer func() { table.End(t.now(), u.ID, t.upstreamOutcome(out)) }()
-	response, err := t.send(u)
+	ctx, cancel := context.WithCancelCause(t.ctx)
+	defer func() {
+		if err != nil && errors.Is(context.Cause(ctx), errRevoked) {
+			err = errRevoked
+		}
+		cancel(nil)
+		table.End(t.now(), u.ID, t.upstreamOutcome(out, err))
+	}()
+	t.admission.OnRevoked(func() { cancel(errRevoked) })
+	t.attemptEvents = 0
+	response, err := t.send(ctx, u)
 	t.answerBegan = err == nil
 	if err != nil {
 		var failure *exchange.Failure
@@ -67,11 +77,11 @@
 }
 
 // send sends the request and returns the response once its headers were read.
-func (t *transfer) send(u roster.Upstream) (*exchange.Response, error) {
+func (t *transfer) send(ctx context.Context, u roster.Upstream) (*exchange.Response, error) {
 	call := Call{Request: t.r, Upstream: u, Remaining: t.r.Deadline.Sub(t.now()), After: t.lastEventID, Resumes: t.r.Resumes || t.eventsSent > 0}
 	event.ForwardSent.Info(t.f.settings.Log, "request", t.r.ID, "upstream", u.ID, "attempt", len(t.tried),
 		"resumes", call.Resumes, "after", call.After, "left", call.Remaining)
-	return t.f.settings.Pool.Do(t.ctx, exchange.Call{
+	return t.f.settings.Pool.Do(ctx, exchange.Call{
 		Address: u.Address,
 		Owner:   string(u.ID) + " " + u.Incarnation,
 		Method:  t.r.Method,
@@ -113,15 +123,16 @@
 	return t.forwardBuffered(response)
 }
 
-// upstreamOutcome returns the outcome of an attempt for load balancing. An attempt
-// that ended because the caller left is inconclusive.
-func (t *transfer) upstreamOutcome(out outcome) affinity.Outcome {
+// upstreamOutcome returns the outcome of an attempt that ended with err for load balancing.
+// An attempt that ended because the caller left or the request was quarantined is
+// inconclusive.
+func (t *transfer) upstreamOutcome(out outcome, err error) affinity.Outcome {
 	switch {
 	case out == outcomeDelivered:
 		return affinity.Succeeded
 	case out == outcomeRejected:
 		return affinity.Rejected
-	case out != outcomeServerError && errors.Is(t.ctx.Err(), context.Canceled):
+	case out != outcomeServerError && (errors.Is(err, errRevoked) || errors.Is(t.ctx.Err(), context.Canceled)):
 		return affinity.Inconclusive
 	}
 	return affinity.Failed
--- a/internal/forward/crash_test.go
+++ b/internal/forward/crash_test.go
@@ -5,7 +5,9 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 
@@ -38,44 +40,105 @@
 	}
 }
 
+// getParts sends a request with the parts, the last of which differs between requests.
+func (f *fixture) getParts(parts string) (status int, header http.Header, body string) {
+	r, err := http.NewRequestWithContext(context.Background(), http.MethodGet, f.server.URL+"/x?parts="+parts, nil)
+	require.NoError(f.t, err)
+	response, err := f.server.Client().Do(r)
+	require.NoError(f.t, err)
+	data, _ := io.ReadAll(response.Body) // fails if the response was cut off
+	require.NoError(f.t, response.Body.Close())
+	return response.StatusCode, response.Header, string(data)
+}
+
+// beginAnswer writes the beginning of a stream.
+func beginAnswer(w http.ResponseWriter, r *http.Request) {
+	sign(w, r)
+	_, _ = io.WriteString(w, "id: 1\ndata: pi")
+	_ = http.NewResponseController(w).Flush()
+}
+
 // TestPromptPartThatCrashesUpstreamsIsStopped guards against requests that crash one upstream after the other because they share a part of their prompts.
 func TestPromptPartThatCrashesUpstreamsIsStopped(t *testing.T) {
 	const upstreamCount = 30
-	var crashes atomic.Int64
+	var mu sync.Mutex
+	ran := make(map[string]int) // by URI
 	var f *fixture
 	run := func(w http.ResponseWriter, r *http.Request) {
 		if !strings.Contains(r.RequestURI, "poison") {
 			events(3, nil)(w, r)
 			return
 		}
-		crashes.Add(1)
-		sign(w, r)
-		_, _ = io.WriteString(w, "id: 1\ndata: pi")
-		_ = http.NewResponseController(w).Flush()
+		mu.Lock()
+		ran[r.RequestURI]++
+		mu.Unlock()
+		beginAnswer(w, r)
 		f.endUpstream(w, r)
 	}
-	upstreams := make([]upstream, upstreamCount)
-	for i := range upstreams {
-		upstreams[i] = run
-	}
-	f = newFixture(t, resumable, upstreams...)
+	f = newFixture(t, resumable, slices.Repeat([]upstream{run}, upstreamCount)...)
 	f.withParts()
-	get := func(parts string) (status int, body string) {
-		r, err := http.NewRequestWithContext(context.Background(), http.MethodGet, f.server.URL+"/x?parts="+parts, nil)
-		require.NoError(t, err)
-		response, err := f.server.Client().Do(r)
-		require.NoError(t, err)
-		data, _ := io.ReadAll(response.Body) // fails if the response was cut off
-		require.NoError(t, response.Body.Close())
-		return response.StatusCode, string(data)
-	}
 	for i := range 20 {
-		get(fmt.Sprintf("shared,poison,own%d", i))
-		status, body := get(fmt.Sprintf("shared,other,own-sound%d", i))
+		parts := fmt.Sprintf("shared,poison,own%d", i)
+		status, header, _ := f.getParts(parts)
+		if ran["/x?parts="+parts] > 0 {
+			assert.Equal(t, http.StatusBadGateway, status, "a request that has run")
+		} else {
+			assert.Equal(t, http.StatusServiceUnavailable, status, "a request that has not run")
+			assert.NotEmpty(t, header.Get("Retry-After"))
+		}
+		status, _, body := f.getParts(fmt.Sprintf("shared,other,own-sound%d", i))
 		require.Equal(t, http.StatusOK, status)
 		assert.Equal(t, completeStream(3), body)
 	}
-	assert.LessOrEqual(t, crashes.Load(), int64(crashLimit+1))
-	status, _ := get("shared,poison,last")
+	crashes := 0
+	for _, n := range ran {
+		crashes += n
+	}
+	assert.LessOrEqual(t, crashes, crashLimit+1)
+	status, _, _ := f.getParts("shared,poison,last")
 	assert.Equal(t, http.StatusServiceUnavailable, status)
 }
+
+// TestLostAnswersConvictNoPart guards against the refusal of a part because connections are lost to upstreams that run on.
+func TestLostAnswersConvictNoPart(t *testing.T) {
+	var runs atomic.Int64
+	f := newFixture(t, resumable, slices.Repeat([]upstream{func(w http.ResponseWriter, r *http.Request) {
+		runs.Add(1)
+		beginAnswer(w, r)
+		resetConnection(w)
+	}}, 12)...)
+	f.withParts()
+	for i := range 20 {
+		status, _, _ := f.getParts(fmt.Sprintf("shared,unlucky,own%d", i))
+		assert.Equal(t, http.StatusBadGateway, status)
+	}
+	assert.GreaterOrEqual(t, runs.Load(), int64(20))
+}
+
+// TestWaitingRequestIsCancelledOnceItsPartIsQuarantined guards against requests that crash upstreams although they were known to when these had not begun to answer.
+func TestWaitingRequestIsCancelledOnceItsPartIsQuarantined(t *testing.T) {
+	waiting, cancelled := make(chan struct{}), make(chan struct{})
+	var f *fixture
+	f = newFixture(t, resumable, slices.Repeat([]upstream{func(w http.ResponseWriter, r *http.Request) {
+		if strings.Contains(r.RequestURI, "waits") {
+			close(waiting)
+			<-r.Context().Done()
+			close(cancelled)
+			return
+		}
+		beginAnswer(w, r)
+		f.endUpstream(w, r)
+	}}, 12)...)
+	f.withParts()
+	result := make(chan int, 1)
+	go func() {
+		status, _, _ := f.getParts("shared,poison,waits")
+		result <- status
+	}()
+	<-waiting
+	for i := range crashLimit {
+		f.getParts(fmt.Sprintf("shared,poison,own%d", i))
+	}
+	<-cancelled
+	assert.Equal(t, http.StatusBadGateway, <-result)
+}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -33,6 +33,7 @@
 	"example.org/lagoonfork/internal/figures"
 	"example.org/lagoonfork/internal/ledger"
 	"example.org/lagoonfork/internal/quarantine"
+	"example.org/lagoonfork/internal/quarantine/keeper"
 	"example.org/lagoonfork/internal/repeats"
 	"example.org/lagoonfork/internal/roster"
 	"example.org/lagoonfork/internal/wallet"
@@ -46,11 +47,12 @@
 	maxUpstreams = 4
 	// budgetWait is how long a request waits for its tokens to be reserved.
 	budgetWait = time.Second
-	// crashLimit is the number of upstreams that a request may crash before it
-	// is quarantined.
+	// crashLimit is the number of crashes of upstreams after which requests with the
+	// same content, or with the same part of their prompts, are quarantined.
 	crashLimit = 3
-	// quarantineRetryAfter is the Retry-After of a quarantined request.
-	quarantineRetryAfter = time.Second
+	// suspectRetryAfter is the Retry-After of a request while another one with the same
+	// suspect part is running.
+	suspectRetryAfter = 250 * time.Millisecond
 	// otherRouterRetryAfter is the Retry-After, before jitter, of a request that
 	// another router may be able to serve, and the minimum that retryDelay uses.
 	// It is short because the caller need not wait; the jitter spreads the retries.
@@ -66,16 +68,10 @@
 	Reserve(ctx context.Context, now time.Time, r wallet.Request) (*wallet.Reservation, error)
 }
 
-// Quarantine tracks the requests that crash the upstreams that run them.
+// Quarantine decides which requests may run, and tracks those that crash the upstreams
+// that run them. See package keeper.
 type Quarantine interface {
-	// IsQuarantined reports whether a request is quarantined because it has crashed
-	// limit or more upstreams.
-	IsQuarantined(now time.Time, d quarantine.Digest, limit int) bool
-	// RecordCrash records that an upstream lost its connection while it ran a
-	// request.
-	RecordCrash(now time.Time, d quarantine.Digest, upstream ident.Upstream)
-	// Clear records that a request completed.
-	Clear(d quarantine.Digest)
+	Begin(now time.Time, s quarantine.Subject, limit int) *keeper.Attempt
 }
 
 // Settings configures a Forwarder. All fields are required.
@@ -130,18 +126,19 @@
 	_ = http.NewResponseController(w).SetWriteDeadline(r.expires().Add(writeGrace)) // not every writer supports deadlines
 	event.ForwardReceived.Info(f.settings.Log, "request", r.ID, "route", r.Route.Name, "service", r.Service.ID,
 		"customer", r.customerID(), "left", r.expires().Sub(r.Arrived), "revision", r.Revision)
-	digest := quarantine.DigestOf(r.customerID(), r.Service.ID, append([]byte(r.URI+" "), r.Body...))
-	if f.settings.IsQuarantined(r.Arrived, digest, crashLimit) {
-		f.refuse(w, r, refusal{status: http.StatusServiceUnavailable, reason: "quarantined", retryAfter: quarantineRetryAfter})
+	t := &transfer{f: f, r: r, w: w, ctx: ctx, subject: r.subject(), lastEventID: r.After}
+	if refused := t.begin(); refused != nil {
+		f.refuse(w, r, *refused)
 		return
 	}
+	defer func() { t.admission.End() }()
 	reservation, refused := f.reserve(ctx, r)
 	if refused != nil {
 		f.refuse(w, r, *refused)
 		return
 	}
+	t.reservation = reservation
 	f.retryBudget(r.Service.ID).CountRequest(r.Arrived)
-	t := &transfer{f: f, r: r, w: w, ctx: ctx, reservation: reservation, digest: digest, lastEventID: r.After}
 	defer t.settle()
 	t.run()
 }
--- a/internal/forward/harness_test.go
+++ b/internal/forward/harness_test.go
@@ -16,9 +16,10 @@
 	"github.com/stretchr/testify/require"
 
 	"example.org/lagoonfork/internal/exchange"
+	"example.org/lagoonfork/internal/fake/keyvalue"
 	"example.org/lagoonfork/internal/figures"
 	"example.org/lagoonfork/internal/ledger"
-	"example.org/lagoonfork/internal/quarantine"
+	"example.org/lagoonfork/internal/quarantine/keeper"
 	"example.org/lagoonfork/internal/repeats"
 	"example.org/lagoonfork/internal/roster"
 	"example.org/lagoonfork/internal/route"
@@ -81,39 +82,16 @@
 	return 0, store.ErrUnavailable
 }
 
-// localQuarantine is a quarantine that is not shared with other routers.
-type localQuarantine struct {
-	mu   sync.Mutex
-	list quarantine.List
-}
-
-func (q *localQuarantine) IsQuarantined(now time.Time, d quarantine.Digest, limit int) bool {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	return q.list.IsQuarantined(now, d, limit)
-}
-
-func (q *localQuarantine) RecordCrash(now time.Time, d quarantine.Digest, u ident.Upstream) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.list.RecordCrash(now, d, u)
-}
-
-func (q *localQuarantine) Clear(d quarantine.Digest) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.list.Clear(d)
-}
-
 // fixture is a forwarder with upstreams that are provided by the test.
 type fixture struct {
-	t         *testing.T
-	ledger    *fakeLedger
-	wallet    *wallet.Wallet
-	forwarder *Forwarder
-	server    *httptest.Server
-	servers   []*httptest.Server // of the upstreams
-	request   func(h *http.Request) *Request
+	t          *testing.T
+	ledger     *fakeLedger
+	wallet     *wallet.Wallet
+	forwarder  *Forwarder
+	quarantine *keeper.Keeper
+	server     *httptest.Server
+	servers    []*httptest.Server // of the upstreams
+	request    func(h *http.Request) *Request
 }
 
 // upstream handles the calls of one test upstream. It may hijack the connection.
@@ -142,8 +120,12 @@
 	upstreamRoster.Replace(listed)
 	pool := exchange.NewPool(exchange.Settings{ConnectTimeout: time.Second, IdleLimit: time.Second, Clock: time.Now})
 	t.Cleanup(pool.Close)
+	f.quarantine = keeper.New(keeper.Settings{
+		Store: keyvalue.New(keyvalue.Settings{}).Client(), Clock: time.Now, Log: hclog.NewNullLogger(), Interval: time.Second,
+	})
+	t.Cleanup(func() { _ = f.quarantine.Close() })
 	f.forwarder = New(Settings{
-		Pool: pool, Roster: upstreamRoster, Wallet: f.wallet, HeaderTranslator: testTranslator{}, Quarantine: new(localQuarantine),
+		Pool: pool, Roster: upstreamRoster, Wallet: f.wallet, HeaderTranslator: testTranslator{}, Quarantine: f.quarantine,
 		RetryLimits: repeats.Limits{Ratio: 1, Slack: 100, Window: time.Minute},
 		RouterCount: func() int { return 1 }, Metrics: figures.New(), Clock: time.Now, Log: hclog.NewNullLogger(),
 	})
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -2,11 +2,11 @@
 
 import (
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"example.org/lagoonfork/internal/quarantine"
 	"example.org/lagoonfork/internal/roster"
 	"example.org/lagoonfork/internal/route"
 	"example.org/lagoonfork/pkg/ident"
@@ -53,13 +53,18 @@
 // maxCost returns the maximum number of tokens that the request can cost.
 func (r *Request) maxCost() tokens.Count { return r.PromptTokens + r.MaxOutputTokens }
 
-// partIDs returns the identifiers of the parts of the prompt, separated by commas.
-func (r *Request) partIDs() string {
+// subject describes the request to the quarantine.
+func (r *Request) subject() quarantine.Subject {
+	return quarantine.NewSubject(r.customerID(), r.Service.ID, append([]byte(r.URI+" "), r.Body...), r.partIDs())
+}
+
+// partIDs returns the identifiers of the parts of the prompt.
+func (r *Request) partIDs() []string {
 	ids := make([]string, len(r.Parts))
 	for i, p := range r.Parts {
 		ids[i] = p.ID
 	}
-	return strings.Join(ids, ",")
+	return ids
 }
 
 // affinityKey returns the hash of the parts that other requests may share, which
--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -16,6 +16,8 @@
 	"example.org/lagoonfork/internal/exchange"
 	"example.org/lagoonfork/internal/frame"
 	"example.org/lagoonfork/internal/quarantine"
+	"example.org/lagoonfork/internal/quarantine/keeper"
+	"example.org/lagoonfork/internal/roster"
 	"example.org/lagoonfork/internal/wallet"
 	"example.org/lagoonfork/pkg/ident"
 	"example.org/lagoonfork/pkg/tokens"
@@ -39,12 +41,14 @@
 
 	reservation *wallet.Reservation // nil if the request costs nothing
 
-	digest quarantine.Digest // identifies the request in the quarantine
+	subject   quarantine.Subject
+	admission *keeper.Attempt // by the quarantine, of the current attempt
 
 	tried []ident.Upstream // in the order of the attempts
 	runs  int              // attempts that may have run the request
 
-	answerBegan bool // whether the current attempt received the header of a response
+	answerBegan   bool // whether the current attempt received the header of a response
+	attemptEvents int  // events with an ID that the current attempt received
 
 	headerWritten bool  // whether the response header was written to the caller
 	lastEventID   int64 // of the last event sent to the caller
@@ -79,23 +83,58 @@
 		t.tried = append(t.tried, u.ID)
 		out, err := t.attempt(u)
 		if out == outcomeDelivered {
-			t.f.settings.Clear(t.digest)
 			t.recordEnd(http.StatusOK, "delivered", u.ID)
 			return
 		}
 		event.ForwardFailed.Info(t.f.settings.Log, "request", t.r.ID, "upstream", u.ID, "reason", err,
 			"run", out == outcomeLost || out == outcomeServerError, "took", t.now().Sub(t.r.Arrived), "events", t.eventsSent,
 			"answerBegan", t.answerBegan, "parts", t.r.partIDs())
+		if errors.Is(err, errRevoked) {
+			t.finishFailed("quarantined")
+			return
+		}
 		if out == outcomeLost && t.ctx.Err() == nil && connectionLost(err) {
-			t.f.settings.RecordCrash(t.now(), t.digest, u.ID)
+			t.recordLoss(u)
 		}
 		if t.ctx.Err() != nil || errors.Is(err, errCallerWrite) || !t.shouldRetry(out) {
 			t.finishFailed("failed")
 			return
 		}
+		if refused := t.begin(); refused != nil {
+			t.finishRefused(*refused)
+			return
+		}
 	}
 }
 
+// begin has the quarantine decide on the next attempt. It returns the refusal of the
+// request if it may not run. The attempt before has then ended, too.
+func (t *transfer) begin() *refusal {
+	if t.admission != nil {
+		t.admission.End()
+	}
+	t.admission = t.f.settings.Begin(t.now(), t.subject, crashLimit)
+	switch t.admission.Verdict {
+	case keeper.Refused:
+		return &refusal{status: http.StatusServiceUnavailable, reason: "quarantined", retryAfter: t.admission.RetryAfter}
+	case keeper.Busy:
+		return &refusal{status: http.StatusServiceUnavailable, reason: "suspectIsRunning", retryAfter: jitter(suspectRetryAfter)}
+	}
+	return nil
+}
+
+// recordLoss reports the loss of the connection to an upstream to the quarantine. It finds
+// out whether the upstream has ended if that counts, which is before the answer begins.
+func (t *transfer) recordLoss(u roster.Upstream) {
+	loss := keeper.Loss{Upstream: u.ID, AnswerBegan: t.answerBegan}
+	if len(t.subject.Parts) > 0 && t.attemptEvents == 0 {
+		var err error
+		loss.Ended, err = t.f.settings.Pool.Refuses(t.ctx, u.Address)
+		event.UpstreamEnded.Info(t.f.settings.Log, "upstream", u.ID, "ended", loss.Ended, "error", err)
+	}
+	t.admission.RecordLoss(t.now(), loss)
+}
+
 // connectionLost reports whether an attempt that ended with err is considered to have
 // lost the connection to the upstream, rather than to have received an unusable response
 // or failed to write to the caller. All errors except those listed count as such a loss.
@@ -148,6 +187,9 @@
 	if t.headerWritten {
 		return merry.Errorf("status %d while resuming a stream", response.Status)
 	}
+	if response.Status/100 == 2 {
+		t.admission.RecordCompletion(t.now())
+	}
 	t.writeBuffered(b)
 	return nil
 }
@@ -178,9 +220,12 @@
 			t.headerWritten = true
 		}
 		if err == io.EOF {
+			t.admission.RecordCompletion(t.now())
 			return nil
 		}
 		if e.HasID {
+			t.attemptEvents++
+			t.admission.RecordAnswer(t.now())
 			if e.ID <= t.lastEventID {
 				continue
 			}
@@ -238,6 +283,17 @@
 	WriteError(t.w, status, reason, retryAfter)
 }
 
+// finishRefused ends a request that the quarantine refuses after an attempt. If no attempt
+// may have run it, the caller learns when to send it again.
+func (t *transfer) finishRefused(r refusal) {
+	if t.runs > 0 || t.headerWritten || t.serverError != nil {
+		t.finishFailed(r.reason)
+		return
+	}
+	t.recordEnd(r.status, r.reason, "")
+	WriteError(t.w, r.status, r.reason, r.retryAfter)
+}
+
 // retryDelay returns the Retry-After of a request that was not run: a quarter of the
 // route's latency goal, or otherRouterRetryAfter if that is longer, with jitter so that
 // callers that were refused at the same time do not retry at the same time.
--- a/internal/peerapi/peerapi.go
+++ b/internal/peerapi/peerapi.go
@@ -29,6 +29,7 @@
 	"example.org/lagoonfork/internal/manifest"
 	"example.org/lagoonfork/internal/metrics"
 	"example.org/lagoonfork/internal/peerclient"
+	"example.org/lagoonfork/internal/quarantine/inspection"
 	"example.org/lagoonfork/internal/replay"
 	"example.org/lagoonfork/internal/routing"
 	"example.org/lagoonfork/internal/wallet"
@@ -47,6 +48,7 @@
 	Wallet        *wallet.Wallet
 	Ledger        Ledger
 	Directory     *directory.Directory
+	Quarantine    inspection.Keeper
 	Journal       *journal.Journal
 	Metrics       *metrics.Metrics
 	Status        func() peerclient.Status
@@ -96,6 +98,8 @@
 	h.mux.HandleFunc(pat.Get(peerclient.PathConfigurationHead), h.configurationHead)
 	h.mux.HandleFunc(pat.Get(peerclient.PathConfigurationParts+":digest"), h.configurationPart)
 	h.mux.HandleFunc(pat.Get(peerclient.PathMetrics), h.metrics)
+	h.mux.Handle(pat.Get(inspection.Path), inspection.List(s.Quarantine))
+	h.mux.Handle(pat.Delete(inspection.Path+"/:digest"), inspection.Clear(s.Quarantine, s.Clock))
 	h.mux.Handle(pat.Get("/debug/vars"), expvar.Handler())
 	return h
 }
--- a/internal/quarantine/capacity_test.go
+++ b/internal/quarantine/capacity_test.go
@@ -10,15 +10,15 @@
 	"example.org/lagoonfork/pkg/ident"
 )
 
-// BenchmarkReading decodes a list of n requests that ran during a crash, as each
+// BenchmarkReading decodes a list of n digests of requests that ran during a crash, as each
 // router does at each read, and reports the size of the list.
 func BenchmarkReading(b *testing.B) {
-	for _, n := range []int{20, 200, maxRequests} {
+	for _, n := range []int{20, 200, maxRecords} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			var list List
 			now := time.Date(2026, 3, 1, 8, 0, 0, 0, time.UTC)
 			for i := range n {
-				list.RecordCrash(now, DigestOf("customer", "llm", fmt.Append(nil, i)), ident.Upstream("llm-0001"))
+				list.Apply(now, []Change{{At: now, Digest: DigestOf("customer", "llm", fmt.Append(nil, i)), Upstream: ident.Upstream("llm-0001"), Customer: "customer"}})
 			}
 			data, err := list.Encode()
 			require.NoError(b, err)
--- /dev/null
+++ b/internal/quarantine/keeper/drive_test.go
@@ -0,0 +1,468 @@
+package keeper
+
+import (
+	"cmp"
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/stretchr/testify/assert"
+
+	"example.org/lagoonfork/internal/fake/keyvalue"
+	"example.org/lagoonfork/internal/quarantine"
+	"example.org/lagoonfork/pkg/ident"
+)
+
+// Stated bounds of crashes under a part.
+const (
+	decisiveCrashes  = 5
+	contact          = 3 * time.Second
+	maxLateRequests  = 3
+	minSoundFraction = 0.5
+	driveCrashLimit  = 3
+)
+
+// scenario is a fleet under load on given time. Routers exchange changes directly; the
+// key-value service is unavailable throughout.
+type scenario struct {
+	routers, upstreams int
+	duration           time.Duration
+	soundPerSecond     float64
+	firstParts         int           // shared by all requests, sound and crashing
+	crashing           []crashSource // requests that crash upstreams
+	peerDelay          time.Duration // of changes between routers, at most
+	maxWait            time.Duration // of a request until its answer begins
+	// ends ends upstreams without a request being the cause.
+	ends func(d *drive)
+}
+
+// crashSource is a series of requests with crashing parts.
+type crashSource struct {
+	parts     []string
+	customer  ident.Customer
+	perSecond float64
+	start     time.Duration
+	soundTill time.Duration // until then the parts do not crash upstreams
+}
+
+// drive is the state of a scenario that is played.
+type drive struct {
+	scenario
+	t         *testing.T
+	rng       *rand.Rand
+	now       time.Time
+	events    eventQueue
+	sequence  int
+	routerSet []*Keeper
+	alive     []*upstreamProcess
+	nextID    int
+
+	crashTimes map[string][]time.Time // by part
+	sends      map[string][]time.Time // of requests with crashing parts, by part
+	sound      []soundRequest
+	refused    int // sound requests, because of the quarantine
+	held       int // sound requests, because another suspect was running
+	ended      int // upstreams
+}
+
+type soundRequest struct {
+	first  string
+	sent   time.Time
+	served bool
+}
+
+// upstreamProcess is an upstream and what runs on it.
+type upstreamProcess struct {
+	id      ident.Upstream
+	running map[*driveRequest]bool
+}
+
+// driveRequest is one request on its way.
+type driveRequest struct {
+	subject  quarantine.Subject
+	router   int
+	poison   []string // parts that crash upstreams
+	sound    int      // index in drive.sound, or -1
+	attempts int
+	attempt  *Attempt
+	began    bool
+	upstream *upstreamProcess
+}
+
+type driveEvent struct {
+	at       time.Time
+	sequence int
+	run      func()
+}
+
+type eventQueue []driveEvent
+
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	return cmp.Or(q[i].at.Compare(q[j].at), cmp.Compare(q[i].sequence, q[j].sequence)) < 0
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)   { *q = append(*q, x.(driveEvent)) }
+func (q *eventQueue) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+func (d *drive) after(delay time.Duration, run func()) {
+	d.sequence++
+	heap.Push(&d.events, driveEvent{at: d.now.Add(delay), sequence: d.sequence, run: run})
+}
+
+// drivePeers delivers the changes of one router to the others.
+type drivePeers struct {
+	d    *drive
+	self int
+}
+
+func (p *drivePeers) Send(changes []quarantine.Change) {
+	d := p.d
+	changes = slices.Clone(changes)
+	for i, k := range d.routerSet {
+		if i == p.self {
+			continue
+		}
+		d.after(time.Duration(d.rng.Int64N(int64(d.peerDelay))), func() {
+			if answered := k.Receive(d.now, changes); len(answered) > 0 {
+				d.after(time.Duration(d.rng.Int64N(int64(d.peerDelay))), func() { d.routerSet[p.self].Clear(d.now, answered...) })
+			}
+		})
+	}
+}
+
+func play(t *testing.T, s scenario, seed uint64) *drive {
+	d := &drive{
+		scenario: s, t: t, rng: rand.New(rand.NewPCG(seed, 7)), now: now,
+		crashTimes: make(map[string][]time.Time), sends: make(map[string][]time.Time),
+	}
+	client := keyvalue.New(keyvalue.Settings{}).Client()
+	client.SetFaults(keyvalue.Faults{Outage: true})
+	for i := range s.routers {
+		k := New(Settings{
+			Store: client, Peers: &drivePeers{d: d, self: i}, Clock: func() time.Time { return now }, Log: hclog.NewNullLogger(), Interval: time.Hour,
+		})
+		d.routerSet = append(d.routerSet, k)
+	}
+	defer func() {
+		for _, k := range d.routerSet {
+			assert.NoError(t, k.Close())
+		}
+	}()
+	for range s.upstreams {
+		d.startUpstream()
+	}
+	d.scheduleSound()
+	for _, c := range s.crashing {
+		d.after(c.start, func() { d.scheduleCrashing(c, 0) })
+	}
+	if s.ends != nil {
+		s.ends(d)
+	}
+	for d.events.Len() > 0 {
+		e := heap.Pop(&d.events).(driveEvent)
+		if e.at.Sub(now) > s.duration {
+			break
+		}
+		d.now = e.at
+		e.run()
+	}
+	return d
+}
+
+func (d *drive) startUpstream() {
+	d.nextID++
+	d.alive = append(d.alive, &upstreamProcess{id: ident.Upstream(fmt.Sprint("u", d.nextID)), running: make(map[*driveRequest]bool)})
+}
+
+func (d *drive) interval(perSecond float64) time.Duration {
+	return time.Duration(d.rng.ExpFloat64() / perSecond * float64(time.Second))
+}
+
+func (d *drive) firstPart() string { return fmt.Sprint("first", d.rng.IntN(d.firstParts)) }
+
+func (d *drive) scheduleSound() {
+	d.after(d.interval(d.soundPerSecond), func() {
+		d.scheduleSound()
+		first := d.firstPart()
+		d.sound = append(d.sound, soundRequest{first: first, sent: d.now})
+		n := len(d.sound)
+		// One middle part in four is rare.
+		middle := fmt.Sprint("middle", d.rng.IntN(8))
+		if d.rng.IntN(4) == 0 {
+			middle = fmt.Sprint("rare", n/5)
+		}
+		d.arrive(&driveRequest{
+			subject: quarantine.NewSubject(ident.Customer(fmt.Sprint("c", d.rng.IntN(3))), "llm", fmt.Append(nil, "sound", n), []string{first, middle, "own"}),
+			sound:   n - 1,
+		})
+	})
+}
+
+func (d *drive) scheduleCrashing(c crashSource, n int) {
+	d.after(d.interval(c.perSecond), func() {
+		d.scheduleCrashing(c, n+1)
+		parts := slices.Concat([]string{d.firstPart()}, c.parts, []string{"own"})
+		r := &driveRequest{
+			subject: quarantine.NewSubject(c.customer, "llm", fmt.Append(nil, c.parts, n), parts),
+			sound:   -1,
+		}
+		if d.now.Sub(now) >= c.soundTill {
+			r.poison = c.parts
+		}
+		d.arrive(r)
+	})
+}
+
+func (d *drive) arrive(r *driveRequest) {
+	r.router = d.rng.IntN(d.routers)
+	d.send(r)
+}
+
+// send starts an attempt of a request, if the quarantine admits it.
+func (d *drive) send(r *driveRequest) {
+	if len(d.alive) == 0 {
+		return
+	}
+	r.attempts++
+	a := d.routerSet[r.router].Begin(d.now, r.subject, driveCrashLimit)
+	if a.Verdict != Admitted {
+		switch {
+		case r.sound < 0:
+		case a.Verdict == Busy:
+			d.held++
+		default:
+			d.refused++
+		}
+		return
+	}
+	r.attempt, r.began, r.upstream = a, false, d.alive[d.rng.IntN(len(d.alive))]
+	u := r.upstream
+	u.running[r] = true
+	a.OnRevoked(func() {
+		d.after(0, func() {
+			if u.running[r] {
+				delete(u.running, r)
+				a.End()
+			}
+		})
+	})
+	for _, p := range r.poison {
+		d.sends[p] = append(d.sends[p], d.now)
+	}
+	d.after(50*time.Millisecond+time.Duration(d.rng.Int64N(int64(d.maxWait))), func() { d.beginAnswer(r, u) })
+}
+
+func (d *drive) beginAnswer(r *driveRequest, u *upstreamProcess) {
+	if !u.running[r] {
+		return
+	}
+	r.began = true
+	if len(r.poison) > 0 {
+		for _, p := range r.poison {
+			d.crashTimes[p] = append(d.crashTimes[p], d.now)
+		}
+		d.endUpstream(u)
+		return
+	}
+	r.attempt.RecordAnswer(d.now)
+	d.after(time.Duration(d.rng.IntN(1500))*time.Millisecond, func() {
+		if !u.running[r] {
+			return
+		}
+		delete(u.running, r)
+		r.attempt.RecordCompletion(d.now)
+		r.attempt.End()
+		if r.sound >= 0 {
+			d.sound[r.sound].served = true
+		}
+	})
+}
+
+// endUpstream ends an upstream, which starts again under another identifier. Requests on
+// it are retried once.
+func (d *drive) endUpstream(u *upstreamProcess) {
+	i := slices.Index(d.alive, u)
+	if i < 0 {
+		return
+	}
+	d.ended++
+	d.alive = slices.Delete(d.alive, i, i+1)
+	d.after(3*time.Second, d.startUpstream)
+	d.lose(u, func(*driveRequest) bool { return true }, true)
+}
+
+// lose ends the requests on an upstream for which lost holds.
+func (d *drive) lose(u *upstreamProcess, lost func(*driveRequest) bool, ended bool) {
+	var all []*driveRequest
+	for r := range u.running {
+		if lost(r) {
+			all = append(all, r)
+		}
+	}
+	slices.SortFunc(all, func(a, b *driveRequest) int { return cmp.Compare(a.subject.Content, b.subject.Content) })
+	for _, r := range all {
+		delete(u.running, r)
+		r.attempt.RecordLoss(d.now, Loss{Upstream: u.id, Ended: ended, AnswerBegan: r.began})
+		r.attempt.End()
+		if r.attempts < 2 {
+			d.after(time.Millisecond, func() { d.send(r) })
+		}
+	}
+}
+
+// lateSends returns the number of requests with a part that were sent later than contact
+// after its fifth crash.
+func (d *drive) lateSends(part string) (n int) {
+	crashes := d.crashTimes[part]
+	if len(crashes) < decisiveCrashes {
+		return 0
+	}
+	for _, at := range d.sends[part] {
+		if at.After(crashes[decisiveCrashes-1].Add(contact)) {
+			n++
+		}
+	}
+	return n
+}
+
+// servedFraction returns the least fraction, over the first parts, of the sound requests
+// sent in the given time that were served.
+func (d *drive) servedFraction(from, to time.Duration) float64 {
+	sent, served := make(map[string]int), make(map[string]int)
+	for _, r := range d.sound {
+		if r.sent.Before(now.Add(from)) || r.sent.After(now.Add(to)) {
+			continue
+		}
+		sent[r.first]++
+		if r.served {
+			served[r.first]++
+		}
+	}
+	least := 1.0
+	for first, n := range sent {
+		least = min(least, float64(served[first])/float64(n))
+	}
+	return least
+}
+
+var (
+	smallFleet = scenario{routers: 9, upstreams: 18, duration: 25 * time.Second, soundPerSecond: 60, firstParts: 4, peerDelay: 60 * time.Millisecond, maxWait: 400 * time.Millisecond}
+	largeFleet = scenario{routers: 390, upstreams: 1100, duration: 12 * time.Second, soundPerSecond: 1100, firstParts: 60, peerDelay: 150 * time.Millisecond, maxWait: 400 * time.Millisecond}
+)
+
+func (s scenario) with(change func(s *scenario)) scenario {
+	change(&s)
+	return s
+}
+
+// endSome ends n upstreams at a time, count times.
+func endSome(n, count int, interval time.Duration) func(d *drive) {
+	return func(d *drive) {
+		for i := range count {
+			d.after(5*time.Second+time.Duration(i)*interval, func() {
+				for range min(n, len(d.alive)) {
+					d.endUpstream(d.alive[d.rng.IntN(len(d.alive))])
+				}
+			})
+		}
+	}
+}
+
+// TestCrashingPartsAreStoppedInTime guards against parts of prompts that crash one upstream after the other, at any router.
+func TestCrashingPartsAreStoppedInTime(t *testing.T) {
+	source := func(perSecond float64, parts ...string) crashSource {
+		return crashSource{parts: parts, customer: "c0", perSecond: perSecond, start: 3 * time.Second}
+	}
+	later := source(4, "bad")
+	later.start, later.soundTill = 0, 6*time.Second
+	second := source(4, "bad")
+	second.customer, second.start = "c1", 8*time.Second
+	tests := []struct {
+		name string
+		s    scenario
+	}{
+		{"one part", smallFleet.with(func(s *scenario) { s.crashing = []crashSource{source(4, "bad")} })},
+		{"few requests", smallFleet.with(func(s *scenario) { s.crashing = []crashSource{source(0.5, "bad")} })},
+		{"many requests", smallFleet.with(func(s *scenario) { s.crashing = []crashSource{source(40, "bad")} })},
+		{"two parts in the same requests", smallFleet.with(func(s *scenario) { s.crashing = []crashSource{source(4, "bad", "worse")} })},
+		{"two parts in different requests", smallFleet.with(func(s *scenario) { s.crashing = []crashSource{source(4, "bad"), source(4, "worse")} })},
+		{"two customers", smallFleet.with(func(s *scenario) { s.crashing = []crashSource{source(4, "bad"), second} })},
+		{"a part that was sound before", smallFleet.with(func(s *scenario) { s.crashing = []crashSource{later} })},
+		{"during a release", smallFleet.with(func(s *scenario) {
+			s.crashing, s.ends = []crashSource{source(4, "bad")}, endSome(1, 18, 700*time.Millisecond)
+		})},
+		{"while a failure domain is lost", smallFleet.with(func(s *scenario) {
+			s.crashing, s.ends = []crashSource{source(4, "bad")}, endSome(6, 1, 0)
+		})},
+		{"one first part", smallFleet.with(func(s *scenario) { s.crashing, s.firstParts = []crashSource{source(4, "bad")}, 1 })},
+		{"long waits", smallFleet.with(func(s *scenario) { s.crashing, s.maxWait = []crashSource{source(4, "bad")}, 3*time.Second })},
+		{"slow exchange", smallFleet.with(func(s *scenario) { s.crashing, s.peerDelay = []crashSource{source(4, "bad")}, time.Second })},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			for seed := range uint64(20) {
+				d := play(t, tt.s, seed)
+				for part, crashes := range d.crashTimes {
+					late := d.lateSends(part)
+					t.Logf("seed %d: %d crashes under %s, %d requests late; %d upstreams ended, %d sound requests of %d refused, %d held", seed, len(crashes), part, late, d.ended, d.refused, len(d.sound), d.held)
+					assert.LessOrEqual(t, late, maxLateRequests, "seed %d", seed)
+				}
+				before, after := d.servedFraction(0, 3*time.Second), d.servedFraction(tt.s.duration-8*time.Second, tt.s.duration-3*time.Second)
+				assert.GreaterOrEqual(t, after, minSoundFraction*before, "seed %d", seed)
+			}
+		})
+	}
+}
+
+// TestCrashingPartIsStoppedInTheLargestFleet is TestCrashingPartsAreStoppedInTime in a fleet of the size to design for.
+func TestCrashingPartIsStoppedInTheLargestFleet(t *testing.T) {
+	s := largeFleet
+	s.crashing = []crashSource{{parts: []string{"bad"}, customer: "c0", perSecond: 20, start: time.Second}}
+	d := play(t, s, 1)
+	t.Logf("%d crashes, %d requests late; %d sound requests of %d refused", len(d.crashTimes["bad"]), d.lateSends("bad"), d.refused, len(d.sound))
+	assert.LessOrEqual(t, d.lateSends("bad"), maxLateRequests)
+	assert.GreaterOrEqual(t, d.servedFraction(6*time.Second, 9*time.Second), minSoundFraction)
+}
+
+// TestNoPartIsRefusedWithoutGuilt guards against the refusal of requests because upstreams or connections end for other reasons.
+func TestNoPartIsRefusedWithoutGuilt(t *testing.T) {
+	cut := func(d *drive) {
+		for i := range 10 {
+			d.after(time.Duration(i+2)*time.Second, func() {
+				for _, u := range d.alive {
+					d.lose(u, func(r *driveRequest) bool { return r.router == 0 }, false)
+				}
+			})
+		}
+	}
+	tests := []struct {
+		name string
+		s    scenario
+	}{
+		{"a failure domain is lost", smallFleet.with(func(s *scenario) { s.ends = endSome(6, 1, 0) })},
+		{"all upstreams are lost", smallFleet.with(func(s *scenario) { s.ends = endSome(18, 1, 0) })},
+		{"upstreams are taken back", smallFleet.with(func(s *scenario) { s.ends = endSome(1, 9, 300*time.Millisecond) })},
+		{"a release under load", smallFleet.with(func(s *scenario) { s.ends, s.maxWait = endSome(1, 18, time.Second), 3*time.Second })},
+		{"a release", smallFleet.with(func(s *scenario) { s.ends = endSome(1, 18, time.Second) })},
+		{"a release in pairs", smallFleet.with(func(s *scenario) { s.ends = endSome(2, 9, 1500*time.Millisecond) })},
+		{"connections of a router are reset", smallFleet.with(func(s *scenario) { s.ends = cut })},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			for seed := range uint64(20) {
+				d := play(t, tt.s, seed)
+				t.Logf("seed %d: %d upstreams ended, %d of %d requests refused, %d held", seed, d.ended, d.refused, len(d.sound), d.held)
+				assert.Zero(t, d.refused, "seed %d", seed)
+			}
+		})
+	}
+}
--- a/internal/quarantine/keeper/exchange.go
+++ b/internal/quarantine/keeper/exchange.go
@@ -45,6 +45,7 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	k.addUnseen(changes)
 	k.removePending(len(changes))
 	return true
 }
@@ -63,7 +64,7 @@
 	if err != nil {
 		return err
 	}
-	if !list.Apply(changes) {
+	if !list.Apply(k.settings.Clock(), changes) {
 		k.setWritten(list, entry, len(changes))
 		return nil
 	}
@@ -109,8 +110,7 @@
 		return
 	}
 	k.lastEntry = e
-	list.Apply(k.pending)
-	k.list = list
+	k.replaceList(list)
 }
 
 // removePending removes the first n pending changes, which are written, and wakes
--- a/internal/quarantine/keeper/keeper.go
+++ b/internal/quarantine/keeper/keeper.go
@@ -1,11 +1,11 @@
 // Package keeper keeps the list of requests that crash upstreams, in memory and
 // in the key-value service.
 //
-// A Keeper serves queries from memory. It writes changes to the service by
-// compare-and-swap in the background, merged with those of other routers. A
-// mirror or a watch delivers each change of the list; otherwise the list is read at
-// an interval. While the service is unavailable, the router's own changes stay in
-// effect locally.
+// A Keeper decides from memory. It sends each change to the other routers directly, and
+// writes it to the service by compare-and-swap in the background, merged with those of
+// other routers. A mirror or a watch delivers each change of the list in the service;
+// otherwise the list is read at an interval. While the service is unavailable, the
+// changes stay in effect in memory.
 //
 // In a large fleet, routers send their changes to one router that writes for all.
 // It waits briefly before it writes, so that one write covers several changes.
@@ -14,13 +14,21 @@
 //
 //	k := keeper.New(keeper.Settings{Store: s, Clock: time.Now, Log: log, Interval: 2 * time.Second})
 //	defer k.Close()
-//	if k.IsQuarantined(now, digest, limit) {
+//	a := k.Begin(now, subject, limit)
+//	if a.Verdict != keeper.Admitted {
 //		...
 //	}
+//	defer a.End()
+//	// send the request; then one of
+//	a.RecordLoss(now, keeper.Loss{Upstream: upstream, Ended: true})
+//	a.RecordAnswer(now)
+//	a.RecordCompletion(now)
 package keeper
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -30,7 +38,6 @@
 
 	"example.org/lagoonfork/internal/event"
 	"example.org/lagoonfork/internal/quarantine"
-	"example.org/lagoonfork/pkg/ident"
 	"example.org/lagoonfork/pkg/store"
 )
 
@@ -43,6 +50,11 @@
 	// maxConflicts limits the attempts of one sync to write the list. An attempt
 	// fails if another router has written in the meantime.
 	maxConflicts = 8
+	// unseenPeriod is how long a change that another router writes is applied to lists
+	// that are read from the service and do not show it, and maxUnseen limits the number
+	// of such changes.
+	unseenPeriod = time.Minute
+	maxUnseen    = 2000
 )
 
 // Mirror is a local copy of the list's entry in the key-value service.
@@ -61,13 +73,25 @@
 	Write(ctx context.Context, changes []quarantine.Change) error
 }
 
-// Settings configures a Keeper. All fields but Mirror, Writer and Linger are required.
+// Peers sends changes to the other routers.
+type Peers interface {
+	// Send sends the changes in the background.
+	Send(changes []quarantine.Change)
+}
+
+// Settings configures a Keeper. All fields but Mirror, Writer, Peers, Linger and
+// TrialDelay are required.
 type Settings struct {
 	Store store.Store
 	// Mirror delivers changes of the list. If it is nil, the service is watched.
 	Mirror Mirror
 	// Writer, if set, is tried before this router writes the changes itself.
 	Writer Writer
+	// Peers, if set, receives each change that this router makes.
+	Peers Peers
+	// TrialDelay is how much longer than its term this router refuses a request. If it
+	// differs between routers, few of them try the request at the end of the term.
+	TrialDelay time.Duration
 	// Linger is how long a change waits for others so that one write covers them.
 	Linger   time.Duration
 	Clock    func() time.Time
@@ -91,11 +115,24 @@
 	progress     chan struct{}       // closed when writtenCount grows
 	lastEntry    store.Entry         // entry of the list as last read or written
 	following    bool                // a mirror or a watch delivers each change
+
+	unseen   []quarantine.Change   // written by other routers, and not seen in the service yet
+	answers  recentAnswers         // of this router
+	attempts map[*Attempt]struct{} // that have been admitted and have not ended
+	// trials holds the digests on trial of which a request is running, with the time
+	// until which others wait for it. It has no end at the router that runs the request.
+	trials map[quarantine.Digest]time.Time
 }
 
 // New returns a Keeper and starts its background goroutines.
 func New(s Settings) *Keeper {
-	k := &Keeper{settings: s, syncRequested: make(chan struct{}, 1), progress: make(chan struct{})}
+	k := &Keeper{
+		settings:      s,
+		syncRequested: make(chan struct{}, 1),
+		progress:      make(chan struct{}),
+		attempts:      make(map[*Attempt]struct{}),
+		trials:        make(map[quarantine.Digest]time.Time),
+	}
 	k.tomb.Go(k.loop)
 	k.tomb.Go(k.follow)
 	return k
@@ -107,46 +144,97 @@
 	return k.tomb.Wait()
 }
 
-// RecordCrash records that upstream crashed while it ran the request.
-func (k *Keeper) RecordCrash(now time.Time, d quarantine.Digest, upstream ident.Upstream) {
+// IsQuarantined reports whether the request is refused under the crash limit.
+func (k *Keeper) IsQuarantined(now time.Time, s quarantine.Subject, limit int) bool {
 	k.mu.Lock()
-	changed := k.list.RecordCrash(now, d, upstream)
-	if changed {
-		k.pending = append(k.pending, quarantine.Change{At: now, Digest: d, Upstream: upstream})
-	}
-	k.mu.Unlock()
-	if changed {
-		event.CrashRecorded.Info(k.settings.Log, "digest", d, "upstream", upstream)
-		k.requestSync()
-	}
+	defer k.mu.Unlock()
+	return slices.ContainsFunc(s.Digests(), func(d quarantine.Digest) bool {
+		return k.list.IsQuarantined(now, d, s.Customer, limit)
+	})
 }
 
-// Clear records that the request completed.
-func (k *Keeper) Clear(d quarantine.Digest) {
+// IsSuspect reports whether any crash is recorded for the digest.
+func (k *Keeper) IsSuspect(now time.Time, d quarantine.Digest) bool {
 	k.mu.Lock()
-	changed := k.list.Clear(d)
-	if changed {
-		k.pending = append(k.pending, quarantine.Change{Digest: d})
-	}
-	k.mu.Unlock()
-	if changed {
-		event.CrashesCleared.Info(k.settings.Log, "digest", d)
-		k.requestSync()
-	}
+	defer k.mu.Unlock()
+	return k.list.IsSuspect(now, d)
 }
 
-// IsQuarantined reports whether the request is refused under the crash limit.
-func (k *Keeper) IsQuarantined(now time.Time, d quarantine.Digest, limit int) bool {
+// Len returns the number of suspect digests.
+func (k *Keeper) Len() int {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.list.IsQuarantined(now, d, limit)
+	return len(k.list.Records)
 }
 
-// IsSuspect reports whether any crash is recorded for the request.
-func (k *Keeper) IsSuspect(now time.Time, d quarantine.Digest) bool {
+// Records returns a copy of the list.
+func (k *Keeper) Records() quarantine.List {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.list.IsSuspect(now, d)
+	return quarantine.List{Records: maps.Clone(k.list.Records)}
+}
+
+// apply applies changes to the list in memory and returns those that changed it. The
+// caller holds mu.
+func (k *Keeper) apply(now time.Time, changes []quarantine.Change) (applied []quarantine.Change) {
+	for _, c := range changes {
+		if k.list.Apply(now, []quarantine.Change{c}) {
+			applied = append(applied, c)
+		}
+	}
+	for _, c := range applied {
+		if !k.trials[c.Digest].IsZero() {
+			delete(k.trials, c.Digest) // the request at the other router has ended
+		}
+	}
+	k.revokeQuarantined(now, applied)
+	return applied
+}
+
+// addUnseen adds changes that another router writes. The caller holds mu.
+func (k *Keeper) addUnseen(changes []quarantine.Change) {
+	k.unseen = append(k.unseen, changes...)
+	k.unseen = k.unseen[max(len(k.unseen)-maxUnseen, 0):]
+}
+
+// change applies changes of this router to the list in memory, and adds those that changed
+// it to the pending ones. It returns these for publish. The caller holds mu.
+func (k *Keeper) change(now time.Time, changes []quarantine.Change) (applied []quarantine.Change) {
+	applied = k.apply(now, changes)
+	k.pending = append(k.pending, applied...)
+	return applied
+}
+
+// publish sends changes of this router to the others and has them written.
+func (k *Keeper) publish(changes []quarantine.Change) {
+	if len(changes) == 0 {
+		return
+	}
+	if k.settings.Peers != nil {
+		k.settings.Peers.Send(changes)
+	}
+	k.requestSync()
+}
+
+// Receive applies changes that another router has made and writes. It ignores the crashes
+// of parts that upstreams have begun to answer at this router within the last second, and
+// returns these parts.
+func (k *Keeper) Receive(now time.Time, changes []quarantine.Change) (answered []quarantine.Digest) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.answers.advance(now)
+	for _, c := range changes {
+		if c.Trial {
+			k.holdTrial(now, c.Digest)
+			continue
+		}
+		if c.Upstream != "" && k.answers.has(c.Digest) {
+			answered = append(answered, c.Digest)
+			continue
+		}
+		k.addUnseen(k.apply(now, []quarantine.Change{c}))
+	}
+	return answered
 }
 
 // Write adds changes from another router and returns once they are in the
@@ -159,7 +247,7 @@
 		return merry.Prepend(store.ErrUnavailable, "the last call to the key-value service failed")
 	}
 	k.peerChanges = true
-	k.list.Apply(changes)
+	k.apply(k.settings.Clock(), changes)
 	k.pending = append(k.pending, changes...)
 	last := k.writtenCount + len(k.pending)
 	k.mu.Unlock()
@@ -321,8 +409,8 @@
 	k.following = following
 }
 
-// applyEntry replaces the list by that of e, with the pending changes applied,
-// unless e is not newer than the last known entry.
+// applyEntry replaces the list by that of e, unless e is not newer than the last known
+// entry.
 func (k *Keeper) applyEntry(e store.Entry) error {
 	if e.Key != quarantine.Key {
 		return nil
@@ -337,7 +425,18 @@
 		return nil
 	}
 	k.lastEntry = e
-	list.Apply(k.pending)
-	k.list = list
+	k.replaceList(list)
 	return nil
 }
+
+// replaceList replaces the list in memory by one that was read or written, with the
+// changes applied that it does not show yet. The caller holds mu.
+func (k *Keeper) replaceList(list quarantine.List) {
+	now := k.settings.Clock()
+	k.unseen = slices.DeleteFunc(k.unseen, func(c quarantine.Change) bool {
+		return list.Shows(c) || now.Sub(c.At).Abs() > unseenPeriod
+	})
+	list.Apply(now, k.unseen)
+	list.Apply(now, k.pending)
+	k.list = list
+}
--- a/internal/quarantine/keeper/keeper_test.go
+++ b/internal/quarantine/keeper/keeper_test.go
@@ -14,6 +14,7 @@
 
 	"example.org/lagoonfork/internal/fake/keyvalue"
 	"example.org/lagoonfork/internal/quarantine"
+	"example.org/lagoonfork/pkg/ident"
 	"example.org/lagoonfork/pkg/store"
 )
 
@@ -35,15 +36,22 @@
 	return k
 }
 
+// lose has k run a request with the content d, and records the loss of its upstream.
+func lose(k *Keeper, d quarantine.Digest, upstream ident.Upstream) {
+	a := k.Begin(now, quarantine.Subject{Content: d}, 99)
+	a.RecordLoss(now, Loss{Upstream: upstream})
+	a.End()
+}
+
 func TestAccusationsAddUpOverRouters(t *testing.T) {
 	service := keyvalue.New(keyvalue.Settings{})
 	a := newKeeper(t, service.Client())
 	b := newKeeper(t, service.Client())
 	c := newKeeper(t, service.Client())
-	a.RecordCrash(now, "d", "u1")
-	b.RecordCrash(now, "d", "u2")
-	assert.Eventually(t, func() bool { return c.IsQuarantined(now, "d", 2) }, waitTimeout, tick)
-	c.Clear("d")
+	lose(a, "d", "u1")
+	lose(b, "d", "u2")
+	assert.Eventually(t, func() bool { return c.IsQuarantined(now, quarantine.Subject{Content: "d"}, 2) }, waitTimeout, tick)
+	c.Clear(now, "d")
 	assert.Eventually(t, func() bool { return !a.IsSuspect(now, "d") && !b.IsSuspect(now, "d") }, waitTimeout, tick)
 }
 
@@ -53,7 +61,7 @@
 	client.SetFaults(keyvalue.Faults{Outage: true})
 	a := newKeeper(t, client)
 	other := newKeeper(t, service.Client())
-	a.RecordCrash(now, "d", "u1")
+	lose(a, "d", "u1")
 	assert.True(t, a.IsSuspect(now, "d"))
 	assert.False(t, other.IsSuspect(now, "d"))
 	client.SetFaults(keyvalue.Faults{})
@@ -138,7 +146,7 @@
 // checkListNotRead checks that k sees the changes of other and writes its own without
 // reading the list through c.
 func checkListNotRead(t *testing.T, c *countingStore, k, other *Keeper) {
-	other.RecordCrash(now, "first", "u")
+	lose(other, "first", "u")
 	assert.Eventually(t, func() bool { return k.IsSuspect(now, "first") }, waitTimeout, tick)
 	var before int64
 	require.Eventually(t, func() bool {
@@ -148,10 +156,10 @@
 	}, waitTimeout, tick, "the reads do not stop")
 	for n := range 20 {
 		d := quarantine.Digest(fmt.Sprint(n))
-		other.RecordCrash(now, d, "u")
+		lose(other, d, "u")
 		assert.Eventually(t, func() bool { return k.IsSuspect(now, d) }, waitTimeout, tick)
 	}
-	k.RecordCrash(now, "own", "u")
+	lose(k, "own", "u")
 	assert.Eventually(t, func() bool { return other.IsSuspect(now, "own") }, waitTimeout, tick)
 	assert.Equal(t, before, c.reads.Load())
 }
@@ -178,6 +186,6 @@
 		Log: hclog.New(&hclog.LoggerOptions{Output: slowLog{}}), Interval: tick,
 	})
 	t.Cleanup(func() { assert.NoError(t, k.Close()) })
-	k.RecordCrash(now, "d", "u1")
+	lose(k, "d", "u1")
 	assert.True(t, k.IsSuspect(now, "d"))
 }
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -1,32 +1,40 @@
 // Package quarantine decides which requests are refused because they crash the
 // upstreams that run them.
 //
-// When an upstream crashes, the crash is recorded for each request in flight on it;
-// such a request is a suspect. A request is refused once crashes of as many
-// different upstreams as the crash limit are recorded for it, unless another
-// request ran during all of the same crashes: then the request with more crashes is
-// considered the cause, and among requests with equal crashes a multiple of the
-// limit applies.
+// A request is known by the digest of its content and by the digests of the parts of
+// its prompt. When an upstream crashes, the crash is recorded for the digests of each
+// request in flight on it; these are suspects. A request is refused once the crashes
+// that count against one of its digests reach the crash limit.
 //
-// When a suspect request completes, its crashes are cleared, so that a request
-// that merely ran alongside the cause is not refused. Each upstream counts only
-// once for a request, because an upstream may crash repeatedly without a request
-// causing it.
+//   - Each upstream counts once for a digest, because an upstream may crash repeatedly
+//     without a request causing it.
+//   - A crash counts against a part only if the request was sent when the router knew of
+//     all earlier crashes of the part. Upstreams that end together therefore count once,
+//     however many requests they take with them.
+//   - A digest that was present at all crashes of another one and at more is considered
+//     the cause, and the other one is not refused. If requests with different contents
+//     ran during the same crashes, a multiple of the limit applies to them.
+//   - A part is refused to the customers in whose requests it crashed upstreams, and to
+//     all once there are two of them, so that a customer cannot have a part of another
+//     one refused. To other customers it is on trial.
 //
-// The List is kept in the key-value service for the whole fleet, under one key,
-// by compare-and-swap. This package does no I/O and reads no clock.
+// An answer clears the crashes: for a part when it begins, for a content when it is
+// complete. A refusal ends after a time that doubles with each further crash; then the
+// digest is on trial, as is one whose crashes are one short of the limit. Requests with a
+// digest on trial run one at a time.
+//
+// The List is kept in the key-value service for the whole fleet, under one key, by
+// compare-and-swap. This package does no I/O and reads no clock.
 //
 // # Usage
 //
-//	list.RecordCrash(now, digest, upstream)
-//	if list.IsQuarantined(now, digest, limit) {
+//	list.Apply(now, []quarantine.Change{{Digest: digest, Upstream: upstream, Prior: list.Count(digest)}})
+//	if list.IsQuarantined(now, digest, customer, limit) {
 //		...
 //	}
 package quarantine
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
 	"slices"
 	"time"
@@ -37,62 +45,68 @@
 )
 
 // Key is the key of the list in the key-value service.
-const Key = "quarantine/requests"
+const Key = "quarantine/list"
 
 const (
-	// retention is how long after its last crash a request stays on the list.
+	// retention is how long after its last crash a digest stays on the list.
 	retention = 24 * time.Hour
-	// maxRequests limits the size of the list. The requests whose last crash is
-	// oldest are removed first.
-	maxRequests = 2000
+	// suspectRetention is the same for a digest with a single crash, as most are that
+	// ran beside the cause.
+	suspectRetention = 10 * time.Minute
+	// maxRecords limits the size of the list. The digests with the fewest crashes are
+	// removed first, and among them those whose last crash is oldest.
+	maxRecords = 2000
+	// maxCrashes limits the crashes that are kept for a digest.
+	maxCrashes = 32
 	// sameCrashWindow is the time within which reports of a crash of an upstream
 	// by different routers are treated as the same crash.
 	sameCrashWindow = 5 * time.Second
-	// coRunLimitFactor multiplies the crash limit for a request if another request
-	// ran during exactly the same crashes.
+	// coRunLimitFactor multiplies the crash limit for the content of a request if
+	// another request ran during exactly the same crashes.
 	coRunLimitFactor = 3
+	// firstTerm is how long a digest is refused after the crash that reached the limit.
+	firstTerm = 5 * time.Minute
 )
 
-// Digest identifies the content of a request, independent of its request identifier.
-type Digest string
-
-// DigestOf returns the digest of a customer's request to a service with the given
-// body: the first 16 bytes of a SHA-256 hash, in hexadecimal.
-func DigestOf(customer ident.Customer, service ident.Service, body []byte) Digest {
-	h := sha256.New()
-	h.Write([]byte(customer))
-	h.Write([]byte{0})
-	h.Write([]byte(service))
-	h.Write([]byte{0})
-	h.Write(body)
-	return Digest(hex.EncodeToString(h.Sum(nil)[:16]))
-}
-
-// List holds the crash histories of the suspect requests. The zero value is an
-// empty list. It is not safe for concurrent use.
+// List holds the crashes of the suspect digests. The zero value is an empty list. It
+// is not safe for concurrent use.
 type List struct {
-	Requests map[Digest]CrashHistory `json:"accused"`
+	Records map[Digest]Record `json:"records"`
 }
 
-// CrashHistory holds the crashes recorded for one request.
-type CrashHistory struct {
-	// Crashes lists the crashes during which the request ran, at most one for each
-	// upstream.
+// Record holds the crashes recorded for one digest.
+type Record struct {
+	// Part reports that the digest is that of a part of prompts.
+	Part bool `json:"part,omitempty"`
+	// Crashes lists the crashes during which requests with the digest ran, at most one
+	// for each upstream.
 	Crashes []Crash `json:"crashes"`
 }
 
+// Crash is a crash of an upstream, as observed by one router.
+type Crash struct {
+	Upstream ident.Upstream `json:"upstream"`
+	Customer ident.Customer `json:"customer,omitempty"`
+	At       time.Time      `json:"at"`
+	// Concurrent reports that the request was sent before the last crash of the part was
+	// known. Such a crash does not count against the part.
+	Concurrent bool `json:"concurrent,omitempty"`
+}
+
 // Change is one change of a List: it records a crash of Upstream at At for the
-// request with the given digest. If Upstream is empty, it clears the request.
+// digest. If Upstream is empty, it clears the digest.
 type Change struct {
 	At       time.Time      `json:"at,omitzero"`
 	Digest   Digest         `json:"digest"`
+	Part     bool           `json:"part,omitempty"`
 	Upstream ident.Upstream `json:"upstream,omitempty"`
-}
-
-// Crash is a crash of an upstream, as observed by one router.
-type Crash struct {
-	Upstream ident.Upstream `json:"upstream"`
-	At       time.Time      `json:"at"`
+	Customer ident.Customer `json:"customer,omitempty"`
+	// Prior is the number of crashes that counted against the digest, as known to the
+	// router that sent the request when it did so.
+	Prior int `json:"prior,omitempty"`
+	// Trial reports that no crash is recorded or cleared, but a request with the digest,
+	// which is on trial, has started to run. A List ignores such a change.
+	Trial bool `json:"trial,omitempty"`
 }
 
 // same reports whether c and other are observations of the same crash.
@@ -101,8 +115,8 @@
 }
 
 // lastCrash returns the time of the last crash.
-func (h CrashHistory) lastCrash() (last time.Time) {
-	for _, c := range h.Crashes {
+func (r Record) lastCrash() (last time.Time) {
+	for _, c := range r.Crashes {
 		if c.At.After(last) {
 			last = c.At
 		}
@@ -110,125 +124,211 @@
 	return last
 }
 
-// RecordCrash records that upstream crashed while it ran the request. It also removes
-// requests that have expired or exceed the size limit. It reports whether the list
-// changed.
-func (l *List) RecordCrash(now time.Time, d Digest, upstream ident.Upstream) (changed bool) {
-	h := l.Requests[d]
-	sameUpstream := func(c Crash) bool { return c.Upstream == upstream }
-	if slices.ContainsFunc(h.Crashes, sameUpstream) {
-		return false
+// count returns the number of crashes that count against the digest.
+func (r Record) count() (n int) {
+	for _, c := range r.Crashes {
+		if !c.Concurrent {
+			n++
+		}
 	}
-	if l.Requests == nil {
-		l.Requests = make(map[Digest]CrashHistory)
+	return n
+}
+
+// expired reports whether the record is no longer kept.
+func (r Record) expired(now time.Time) bool {
+	kept := retention
+	if r.count() < 2 {
+		kept = suspectRetention
 	}
-	h.Crashes = append(slices.Clone(h.Crashes), Crash{Upstream: upstream, At: now.UTC()})
-	l.Requests[d] = h
-	l.expire(now)
-	return true
+	return now.Sub(r.lastCrash()) > kept
 }
 
-// Apply applies the changes in order. It reports whether the list changed.
-func (l *List) Apply(changes []Change) (changed bool) {
+// Apply applies the changes in order, and removes digests that have expired or exceed
+// the size limit. It reports whether the list changed.
+func (l *List) Apply(now time.Time, changes []Change) (changed bool) {
 	for _, c := range changes {
-		if c.Upstream == "" {
-			changed = l.Clear(c.Digest) || changed
-			continue
+		switch {
+		case c.Trial:
+		case c.Upstream == "":
+			changed = l.clear(c.Digest) || changed
+		default:
+			changed = l.recordCrash(c) || changed
 		}
-		changed = l.RecordCrash(c.At, c.Digest, c.Upstream) || changed
+	}
+	if changed {
+		l.expire(now)
 	}
 	return changed
 }
 
-// Clear removes a request, which has completed, from the list. It reports whether
-// the list changed.
-func (l *List) Clear(d Digest) (changed bool) {
-	if _, ok := l.Requests[d]; !ok {
+// Shows reports whether the list is in a state to which the change leads.
+func (l *List) Shows(c Change) bool {
+	if c.Upstream == "" {
+		_, ok := l.Records[c.Digest]
+		return !ok
+	}
+	return slices.ContainsFunc(l.Records[c.Digest].Crashes, func(o Crash) bool { return o.Upstream == c.Upstream })
+}
+
+// recordCrash adds a crash to the record of a digest. If the record has one of the same
+// upstream, that one is kept, with the time of the new one if it is much later. It reports
+// whether the list changed.
+func (l *List) recordCrash(c Change) (changed bool) {
+	r := l.Records[c.Digest]
+	sameUpstream := func(o Crash) bool { return o.Upstream == c.Upstream }
+	if i := slices.IndexFunc(r.Crashes, sameUpstream); i >= 0 {
+		if c.At.Sub(r.Crashes[i].At) < firstTerm {
+			return false
+		}
+		r.Crashes = slices.Clone(r.Crashes)
+		r.Crashes[i].At = c.At.UTC()
+		l.Records[c.Digest] = r
+		return true
+	}
+	if len(r.Crashes) >= maxCrashes {
+		return false
+	}
+	crash := Crash{Upstream: c.Upstream, Customer: c.Customer, At: c.At.UTC(), Concurrent: c.Part && c.Prior < r.count()}
+	if l.Records == nil {
+		l.Records = make(map[Digest]Record)
+	}
+	r.Part = c.Part
+	r.Crashes = append(slices.Clone(r.Crashes), crash)
+	l.Records[c.Digest] = r
+	return true
+}
+
+// clear removes a digest from the list. It reports whether the list changed.
+func (l *List) clear(d Digest) (changed bool) {
+	if _, ok := l.Records[d]; !ok {
 		return false
 	}
-	delete(l.Requests, d)
+	delete(l.Records, d)
 	return true
 }
 
-// expire removes requests whose last crash is older than retention, and then the
-// oldest ones beyond maxRequests.
+// expire removes records that are no longer kept, and then the least ones beyond
+// maxRecords.
 func (l *List) expire(now time.Time) {
-	for d, h := range l.Requests {
-		if now.Sub(h.lastCrash()) > retention {
-			delete(l.Requests, d)
+	for d, r := range l.Records {
+		if r.expired(now) {
+			delete(l.Records, d)
 		}
 	}
-	for len(l.Requests) > maxRequests {
-		delete(l.Requests, l.oldest())
+	for len(l.Records) > maxRecords {
+		delete(l.Records, l.least())
 	}
 }
 
-// oldest returns the request whose last crash is the oldest.
-func (l *List) oldest() (oldest Digest) {
+// least returns the digest with the fewest crashes that count, and among these the one
+// whose last crash is the oldest.
+func (l *List) least() (least Digest) {
 	var last time.Time
-	for d, h := range l.Requests {
-		if oldest == "" || h.lastCrash().Before(last) {
-			oldest, last = d, h.lastCrash()
+	var count int
+	for d, r := range l.Records {
+		n, at := r.count(), r.lastCrash()
+		if least == "" || n < count || n == count && at.Before(last) {
+			least, count, last = d, n, at
 		}
 	}
-	return oldest
+	return least
 }
 
-// IsSuspect reports whether crashes are recorded for the request, the last one within
-// retention. A suspect request runs apart from other suspects.
+// Count returns the number of crashes that count against the digest.
+func (l *List) Count(d Digest) int { return l.Records[d].count() }
+
+// IsSuspect reports whether crashes are recorded for the digest and still kept. A
+// request whose content is suspect runs apart from other suspects.
 func (l *List) IsSuspect(now time.Time, d Digest) bool {
-	h, ok := l.Requests[d]
-	return ok && now.Sub(h.lastCrash()) <= retention
+	r, ok := l.Records[d]
+	return ok && !r.expired(now)
+}
+
+// IsQuarantined reports whether a request of the customer with the digest is refused
+// under the crash limit.
+func (l *List) IsQuarantined(now time.Time, d Digest, customer ident.Customer, limit int) bool {
+	return l.QuarantineEnd(d, customer, limit).After(now)
 }
 
-// IsQuarantined reports whether the number of crashes recorded for the request has
-// reached the limit. If another request ran during all of these crashes and during
-// more, the request is not refused. If another one ran during exactly the same
-// crashes, the limit is multiplied by coRunLimitFactor.
-func (l *List) IsQuarantined(now time.Time, d Digest, limit int) bool {
-	if !l.IsSuspect(now, d) {
+// OnTrial reports whether a request of the customer with the digest is not refused although
+// the crashes of the digest have reached the limit or are one short of it, and no other
+// digest is considered their cause. Requests with such a digest run one at a time.
+func (l *List) OnTrial(now time.Time, d Digest, customer ident.Customer, limit int) bool {
+	r, ok := l.Records[d]
+	if !ok || r.expired(now) || r.count() == 0 {
 		return false
 	}
-	crashes := l.Requests[d].Crashes
+	return r.count() >= max(limit, 1)-1 && l.coverage(d) != coveredByMore && !l.IsQuarantined(now, d, customer, limit)
+}
+
+// concerns reports whether the record counts against requests of the customer. The
+// crashes of a part do so if requests of the customer or of two other ones were involved.
+func (r Record) concerns(customer ident.Customer) bool {
+	if !r.Part {
+		return true
+	}
+	for _, c := range r.Crashes {
+		if c.Customer == customer || c.Customer != r.Crashes[0].Customer {
+			return true
+		}
+	}
+	return false
+}
+
+// QuarantineEnd returns the time until which requests of the customer with the digest are
+// refused under the crash limit, or the zero time if its crashes do not reach the limit.
+func (l *List) QuarantineEnd(d Digest, customer ident.Customer, limit int) time.Time {
+	r, ok := l.Records[d]
 	limit = max(limit, 1)
+	if !ok || r.count() < limit || !r.concerns(customer) {
+		return time.Time{}
+	}
 	switch l.coverage(d) {
 	case coveredByMore:
-		return false
+		return time.Time{}
 	case coveredEqually:
-		return len(crashes) >= coRunLimitFactor*limit
+		limit *= coRunLimitFactor
+		if r.count() < limit {
+			return time.Time{}
+		}
 	}
-	return len(crashes) >= limit
+	term := firstTerm << min(r.count()-limit, 10)
+	return r.lastCrash().Add(min(term, retention))
 }
 
-// coverage describes whether another request ran during all crashes of a request.
+// coverage describes whether another digest was present at all crashes of a digest.
 type coverage int
 
 const (
-	uncovered      coverage = iota // no other ran during all its crashes
-	coveredEqually                 // another ran during the same crashes
-	coveredByMore                  // another ran during them and during more
+	uncovered      coverage = iota // no other was present at all its crashes
+	coveredEqually                 // the content of another request was, at the same crashes
+	coveredByMore                  // another was, at these crashes and at more
 )
 
-// coverage compares the crashes of a request with those of all other requests.
+// coverage compares the crashes of a digest with those of all others. Digests of parts
+// are not compared with those that were present at the same crashes: they may be of the
+// same requests.
 func (l *List) coverage(d Digest) coverage {
 	result := uncovered
-	crashes := l.Requests[d].Crashes
-	for other, h := range l.Requests {
-		if other == d || !h.covers(crashes) {
+	r := l.Records[d]
+	for other, o := range l.Records {
+		if other == d || !o.covers(r.Crashes) {
 			continue
 		}
-		if len(h.Crashes) > len(crashes) {
+		if len(o.Crashes) > len(r.Crashes) {
 			return coveredByMore
 		}
-		result = coveredEqually
+		if !r.Part && !o.Part {
+			result = coveredEqually
+		}
 	}
 	return result
 }
 
-// covers reports whether the request ran during all the given crashes.
-func (h CrashHistory) covers(crashes []Crash) bool {
+// covers reports whether the digest was present at all the given crashes.
+func (r Record) covers(crashes []Crash) bool {
 	for _, c := range crashes {
-		if !slices.ContainsFunc(h.Crashes, c.same) {
+		if !slices.ContainsFunc(r.Crashes, c.same) {
 			return false
 		}
 	}
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -18,41 +18,131 @@
 
 var now = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
+// lose records that an upstream was lost while it ran a request with the content d, which
+// was sent when all earlier crashes were known.
+func (l *List) lose(at time.Time, d Digest, upstream ident.Upstream) {
+	l.Apply(at, []Change{{At: at, Digest: d, Upstream: upstream, Prior: l.Count(d)}})
+}
+
 func TestRefusedAfterDifferentUpstreams(t *testing.T) {
 	var l List
 	d := DigestOf("c", "s", []byte("poison"))
 	for range 10 {
-		l.RecordCrash(now, d, "u1")
+		l.lose(now, d, "u1")
 	}
-	assert.False(t, l.IsQuarantined(now, d, crashLimit), "repeated crashes of one upstream count once")
-	l.RecordCrash(now, d, "u2")
-	assert.False(t, l.IsQuarantined(now, d, crashLimit))
-	l.RecordCrash(now, d, "u3")
-	assert.True(t, l.IsQuarantined(now, d, crashLimit))
-	assert.False(t, l.IsQuarantined(now.Add(retention+time.Second), d, crashLimit))
+	assert.False(t, l.IsQuarantined(now, d, "c", crashLimit), "repeated crashes of one upstream count once")
+	l.lose(now, d, "u2")
+	assert.False(t, l.IsQuarantined(now, d, "c", crashLimit))
+	l.lose(now, d, "u3")
+	assert.True(t, l.IsQuarantined(now, d, "c", crashLimit))
+	assert.False(t, l.IsSuspect(now.Add(retention+time.Second), d))
 }
 
 func TestClearFreesAnInnocent(t *testing.T) {
 	var l List
-	l.RecordCrash(now, "d", "u1")
-	l.RecordCrash(now, "d", "u2")
+	l.lose(now, "d", "u1")
+	l.lose(now, "d", "u2")
 	assert.True(t, l.IsSuspect(now, "d"))
-	assert.True(t, l.Clear("d"))
-	l.RecordCrash(now, "d", "u3")
-	assert.False(t, l.IsQuarantined(now, "d", crashLimit))
+	assert.True(t, l.Apply(now, []Change{{Digest: "d"}}))
+	l.lose(now, "d", "u3")
+	assert.False(t, l.IsQuarantined(now, "d", "c", crashLimit))
 }
 
 func TestListIsBounded(t *testing.T) {
 	var l List
-	for i := range maxRequests + 10 {
-		l.RecordCrash(now.Add(time.Duration(i)), Digest(fmt.Sprint(i)), "u1")
+	l.lose(now, "twice", "u1")
+	l.lose(now, "twice", "u2")
+	for i := range maxRecords + 10 {
+		l.lose(now.Add(time.Duration(i)), Digest(fmt.Sprint(i)), "u1")
 	}
-	assert.Len(t, l.Requests, maxRequests)
+	assert.Len(t, l.Records, maxRecords)
 	assert.False(t, l.IsSuspect(now, "0"), "the oldest is removed first")
+	assert.True(t, l.IsSuspect(now, "twice"), "digests with more crashes are kept")
+}
+
+// TestUpstreamsThatEndTogetherCountOnce guards against the refusal of a part whose requests
+// were running on several upstreams that a failure domain took with it.
+func TestUpstreamsThatEndTogetherCountOnce(t *testing.T) {
+	var l List
+	for i := range 6 {
+		l.Apply(now, []Change{{At: now, Digest: "p", Part: true, Upstream: ident.Upstream(fmt.Sprint("u", i)), Customer: "c"}})
+	}
+	assert.Equal(t, 1, l.Count("p"))
+	assert.False(t, l.IsQuarantined(now, "p", "c", crashLimit))
+}
+
+// crashPart records crashes of different upstreams under a part, one after the other.
+func (l *List) crashPart(at time.Time, d Digest, n int, customers ...ident.Customer) {
+	for i := range n {
+		l.Apply(at, []Change{{
+			At: at, Digest: d, Part: true, Upstream: ident.Upstream(fmt.Sprint(at.UnixNano(), "-", i)),
+			Customer: customers[i%len(customers)], Prior: l.Count(d),
+		}})
+	}
+}
+
+// TestPartIsRefusedToThoseInvolved guards against a customer that has a part of another one
+// refused, by sending it with a part that crashes upstreams.
+func TestPartIsRefusedToThoseInvolved(t *testing.T) {
+	var l List
+	l.crashPart(now, "p", crashLimit, "attacker")
+	assert.True(t, l.IsQuarantined(now, "p", "attacker", crashLimit))
+	assert.False(t, l.IsQuarantined(now, "p", "other", crashLimit))
+	assert.True(t, l.OnTrial(now, "p", "other", crashLimit))
+	l.crashPart(now.Add(time.Second), "p", 1, "second")
+	assert.True(t, l.IsQuarantined(now, "p", "other", crashLimit), "the part has crashed upstreams for two customers")
+}
+
+// TestTermsDouble checks when the quarantine of a part ends, also after it has crashed an
+// upstream again, and that one request at a time may run before and after it.
+func TestTermsDouble(t *testing.T) {
+	var l List
+	l.crashPart(now, "p", crashLimit-1, "c")
+	assert.True(t, l.OnTrial(now, "p", "c", crashLimit))
+	at := now
+	for i := range 4 {
+		l.crashPart(at.Add(time.Second), "p", 1, "c")
+		at = at.Add(time.Second)
+		term := firstTerm << i
+		assert.True(t, l.IsQuarantined(at.Add(term-1), "p", "c", crashLimit))
+		assert.False(t, l.OnTrial(at.Add(term-1), "p", "c", crashLimit))
+		at = at.Add(term)
+		assert.False(t, l.IsQuarantined(at, "p", "c", crashLimit))
+		assert.True(t, l.OnTrial(at, "p", "c", crashLimit))
+	}
+}
+
+// TestTrialOnTheSameUpstream guards against trials of a request without end where a service
+// has no more upstreams than have crashed already.
+func TestTrialOnTheSameUpstream(t *testing.T) {
+	var l List
+	for i := range crashLimit {
+		l.lose(now, "d", ident.Upstream(fmt.Sprint("u", i)))
+	}
+	later := now.Add(firstTerm + time.Second)
+	require.False(t, l.IsQuarantined(later, "d", "c", crashLimit))
+	l.lose(later, "d", "u0")
+	assert.True(t, l.IsQuarantined(later, "d", "c", crashLimit))
+}
+
+// TestCauseExcusesPartsBesideIt guards against the refusal of a part that was present at some
+// of the crashes of another part.
+func TestCauseExcusesPartsBesideIt(t *testing.T) {
+	var l List
+	for i := range crashLimit + 1 {
+		u := ident.Upstream(fmt.Sprint("u", i))
+		l.Apply(now, []Change{{At: now, Digest: "cause", Part: true, Upstream: u, Customer: "c", Prior: i}})
+		if i > 0 {
+			l.Apply(now, []Change{{At: now, Digest: "beside", Part: true, Upstream: u, Customer: "c", Prior: i - 1}})
+		}
+	}
+	assert.True(t, l.IsQuarantined(now, "cause", "c", crashLimit))
+	assert.False(t, l.IsQuarantined(now, "beside", "c", crashLimit))
+	assert.False(t, l.OnTrial(now, "beside", "c", crashLimit))
 }
 
 func FuzzDecode(f *testing.F) {
-	f.Add([]byte(`{"accused":{"d":{"crashes":[{"upstream":"u","at":"2026-01-01T00:00:00Z"}]}}}`))
+	f.Add([]byte(`{"records":{"d":{"part":true,"crashes":[{"upstream":"u","customer":"c","at":"2026-01-01T00:00:00Z","concurrent":true}]}}}`))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		l, err := Decode(data)
 		if err != nil {
@@ -91,7 +181,7 @@
 	running := make(map[Digest]bool)
 	for send := range attempts {
 		at := now.Add(time.Duration(send) * time.Second)
-		if l.IsQuarantined(at, "poison", limit) {
+		if l.IsQuarantined(at, "poison", "c", limit) {
 			break
 		}
 		beside := rng.IntN(3)
@@ -103,18 +193,18 @@
 		}
 		u := ident.Upstream(fmt.Sprint("u", send))
 		lost++
-		l.RecordCrash(at, "poison", u)
+		l.lose(at, "poison", u)
 		for harmless := range running {
-			l.RecordCrash(at, harmless, u)
+			l.lose(at, harmless, u)
 		}
 		for _, harmless := range slices.Sorted(maps.Keys(running)) {
 			// A request that ran during every crash cannot be distinguished from the cause.
-			if l.IsQuarantined(at, harmless, limit) && len(l.Requests[harmless].Crashes) < lost {
+			if l.IsQuarantined(at, harmless, "c", limit) && len(l.Records[harmless].Crashes) < lost {
 				harmlessRefused++
 			}
 			if rng.IntN(2) == 0 {
 				delete(running, harmless)
-				l.Clear(harmless)
+				l.Apply(at, []Change{{Digest: harmless}})
 			}
 		}
 	}
--- a/internal/quarantine/writer/writer.go
+++ b/internal/quarantine/writer/writer.go
@@ -20,7 +20,7 @@
 )
 
 // Path is the HTTP path to which routers post changes.
-const Path = "/peer/quarantine"
+const Path = "/peer/quarantine/changes"
 
 const (
 	// dutyName identifies the duty of writing the list. See package duty.
--- a/internal/quarantine/writer/writer_test.go
+++ b/internal/quarantine/writer/writer_test.go
@@ -76,10 +76,17 @@
 	return f
 }
 
+// lose has k run a request with the content d, and records the loss of its upstream.
+func lose(k *keeper.Keeper, d quarantine.Digest, upstream ident.Upstream) {
+	a := k.Begin(time.Now(), quarantine.Subject{Content: d}, 99)
+	a.RecordLoss(time.Now(), keeper.Loss{Upstream: upstream})
+	a.End()
+}
+
 // waitUntilRefused waits until every router refuses d under the given crash limit.
 func (f *fleet) waitUntilRefused(t *testing.T, d quarantine.Digest, crashLimit int) {
 	for i, k := range f.keepers {
-		require.Eventually(t, func() bool { return k.IsQuarantined(time.Now(), d, crashLimit) }, 10*time.Second, time.Millisecond, "router %d", i)
+		require.Eventually(t, func() bool { return k.IsQuarantined(time.Now(), quarantine.Subject{Content: d}, crashLimit) }, 10*time.Second, time.Millisecond, "router %d", i)
 	}
 }
 
@@ -89,10 +96,12 @@
 func TestOneRouterWritesForAll(t *testing.T) {
 	f := newFleet(t, 10)
 	for i, k := range f.keepers {
-		k.RecordCrash(time.Now(), "shared", ident.Upstream(fmt.Sprint("u-", i)))
+		lose(k, "shared", ident.Upstream(fmt.Sprint("u-", i)))
 	}
 	writer := f.keepers[0]
-	assert.Eventually(t, func() bool { return writer.IsQuarantined(time.Now(), "shared", len(f.keepers)) }, 10*time.Second, time.Millisecond)
+	assert.Eventually(t, func() bool {
+		return writer.IsQuarantined(time.Now(), quarantine.Subject{Content: "shared"}, len(f.keepers))
+	}, 10*time.Second, time.Millisecond)
 	close(f.release)
 	f.waitUntilRefused(t, "shared", len(f.keepers))
 	assert.LessOrEqual(t, f.writes.Load(), int64(2), "writes")
@@ -105,12 +114,12 @@
 	f := newFleet(t, 3)
 	close(f.release)
 	f.clients[0].SetFaults(keyvalue.Faults{Outage: true})
-	f.keepers[0].RecordCrash(time.Now(), "first", "u-9")
+	lose(f.keepers[0], "first", "u-9")
 	for i := 1; i < 3; i++ {
-		f.keepers[i].RecordCrash(time.Now(), "other", ident.Upstream(fmt.Sprint("u-", i)))
+		lose(f.keepers[i], "other", ident.Upstream(fmt.Sprint("u-", i)))
 	}
 	for _, k := range f.keepers[1:] {
-		require.Eventually(t, func() bool { return k.IsQuarantined(time.Now(), "other", 2) }, 10*time.Second, time.Millisecond)
+		require.Eventually(t, func() bool { return k.IsQuarantined(time.Now(), quarantine.Subject{Content: "other"}, 2) }, 10*time.Second, time.Millisecond)
 	}
 	f.clients[0].SetFaults(keyvalue.Faults{})
 	f.waitUntilRefused(t, "first", 1)
--- a/internal/router/compose.go
+++ b/internal/router/compose.go
@@ -208,6 +208,7 @@
 		Wallet:        r.wallet,
 		Ledger:        r.ledger,
 		Directory:     r.directory,
+		Quarantine:    r.quarantine,
 		Journal:       r.journal,
 		Metrics:       r.metrics,
 		Status:        r.Status,
