forward: a stream that ends with its connection before its first event is not complete

Callers could get a success without any event from an upstream that crashed when it began to answer: a response with neither length nor chunks ends where the connection does, and an empty one was taken for a whole stream. Now such a stream counts as lost; one that ends between two later events is passed on as before, since nothing shows that it is not whole, and one that ends inside an event is cut off. The test failed before with status 200 instead of 502.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -147,9 +147,12 @@
 		return nil, &Failure{Sent: true, Reused: reused, cause: err}
 	}
 	return &Response{
-		Status:     response.StatusCode,
-		Header:     response.Header,
-		Length:     response.ContentLength,
+		Status: response.StatusCode,
+		Header: response.Header,
+		Length: response.ContentLength,
+
+		EndsWithConnection: response.ContentLength < 0 && len(response.TransferEncoding) == 0,
+
 		body:       response.Body,
 		closeAfter: response.Close,
 		pool:       p, conn: c, address: call.Address, sendDone: sendDone, stopCancel: stopCancel, ctx: ctx,
@@ -313,6 +316,10 @@
 	Status int
 	Header http.Header
 	Length int64 // of the body in bytes, or -1 if unknown
+	// EndsWithConnection reports that the body has neither a length nor chunks. It ends
+	// where the upstream closes the connection, so that its end does not show whether it
+	// is complete.
+	EndsWithConnection bool
 
 	body       io.ReadCloser
 	closeAfter bool
@@ -325,7 +332,8 @@
 	ctx        context.Context
 }
 
-// Read reads the body. It returns io.EOF only if the body is complete.
+// Read reads the body. It returns io.EOF only if the body is complete or, if
+// EndsWithConnection is set, where it ends.
 func (r *Response) Read(b []byte) (n int, err error) {
 	n, err = r.body.Read(b)
 	if err == io.EOF {
--- a/internal/forward/crash_test.go
+++ b/internal/forward/crash_test.go
@@ -142,3 +142,47 @@
 	<-cancelled
 	assert.Equal(t, http.StatusBadGateway, <-result)
 }
+
+// endWithConnection returns an upstream whose response has neither a length nor chunks and ends with its connection.
+func endWithConnection(body string) upstream {
+	return func(w http.ResponseWriter, r *http.Request) {
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nSignature: seal\r\nRequest: "+r.Header.Get("Request")+"\r\n\r\n"+body)
+		_ = c.Close()
+	}
+}
+
+// TestAnswersThatEndWithTheirConnection guards against a truncated answer that looks complete, and against the loss of a complete one.
+func TestAnswersThatEndWithTheirConnection(t *testing.T) {
+	tests := []struct {
+		name   string
+		route  route.Route
+		body   string
+		status int
+		whole  bool
+	}{
+		{"answer", idempotent, "whole answer", http.StatusOK, true},
+		{"stream", resumable, completeStream(3), http.StatusOK, true},
+		{"stream that ends inside an event", resumable, completeStream(2) + "id: 3\ndata: pi", http.StatusOK, false},
+		{"stream without an event", resumable, "", http.StatusBadGateway, true},
+		{"stream that ends inside its first event", resumable, "id: 1\nda", http.StatusBadGateway, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			tt.route.MaxAttempts = 1
+			f := newFixture(t, tt.route, endWithConnection(tt.body))
+			response, err := f.get(t.Context())
+			require.NoError(t, err)
+			defer func() { _ = response.Body.Close() }()
+			body, err := io.ReadAll(response.Body)
+			assert.Equal(t, tt.status, response.StatusCode)
+			assert.Equal(t, tt.whole, err == nil, "%v", err)
+			if tt.whole && tt.status == http.StatusOK {
+				assert.Equal(t, tt.body, string(body))
+			}
+		})
+	}
+}
--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -204,15 +204,19 @@
 
 // forwardStream forwards the events of a response as they arrive. It skips events
 // that the caller already has. It fails with errMissingEvents if the ID of an event does
-// not follow that of the last event sent.
+// not follow that of the last event sent, and with io.ErrUnexpectedEOF if the connection
+// ends before the first event and nothing else shows that the stream is complete.
 func (t *transfer) forwardStream(response *exchange.Response) error {
 	events := frame.NewReader(response)
 	flush := http.NewResponseController(t.w).Flush
-	for {
+	for n := 0; ; n++ {
 		e, err := events.Next()
 		if err != nil && err != io.EOF {
 			return err
 		}
+		if err == io.EOF && n == 0 && response.EndsWithConnection {
+			return io.ErrUnexpectedEOF
+		}
 		if !t.headerWritten {
 			copyHeader(t.w.Header(), response.Header)
 			t.w.Header().Del("Content-Length")
