--- a/internal/event/routing.go
+++ b/internal/event/routing.go
@@ -30,6 +30,8 @@
 		"Another router did not accept this router's changes to the list of crashing requests directly; it reads them from the key-value service. Fields: peer, error.")
 	UpstreamEnded = define(320, "upstream lost",
 		"The connection to an upstream was lost before the answer to a request began, and a new connection was tried. Fields: upstream, ended (whether it was refused), error.")
+	LimitReceived = define(321, "limit received",
+		"The response to a request names the number of requests per second that the upstream accepts from all routers together. Fields: request, upstream, state (1 named, 2 unreadable), perSecond.")
 	LoadNotRead = define(311, "load not read",
 		"An upstream did not report its load. It temporarily receives no new requests.")
 	VMListNotRead = define(314, "list of VMs not read",
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -73,6 +73,9 @@
 	if info.HasLoad && !info.WrongRequest {
 		table.SetLoad(t.now(), u.ID, info.Load)
 	}
+	if info.Limit.State != LimitNone && !info.WrongRequest {
+		event.LimitReceived.Info(t.f.settings.Log, "request", t.r.ID, "upstream", u.ID, "state", info.Limit.State, "perSecond", info.Limit.PerSecond)
+	}
 	return t.receive(response, info)
 }
 
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -119,6 +119,24 @@
 	// valid if HasLoad is set.
 	Load    int
 	HasLoad bool
+	// Limit is the limit that the upstream names.
+	Limit Limit
+}
+
+// LimitState tells what a response says about the limit of an upstream.
+type LimitState int
+
+const (
+	LimitNone       LimitState = iota // the upstream names no limit
+	LimitNamed                        // PerSecond is the limit
+	LimitUnreadable                   // the upstream names a limit that cannot be read
+)
+
+// Limit is the number of requests per second that an upstream accepts from all routers
+// together. The zero value is that of an upstream that names none.
+type Limit struct {
+	State     LimitState
+	PerSecond float64 // not negative; may be infinite
 }
 
 // HeaderTranslator translates between requests and the headers that upstreams use.
