broadcast: news of any kind

The sender of quarantine changes becomes a generic one, so that the limits of upstreams can be sent in the same way.

--- a/internal/quarantine/broadcast/broadcast_test.go
+++ b/internal/broadcast/broadcast_test.go
@@ -14,24 +14,22 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
-
-	"example.org/lagoonfork/internal/quarantine"
 )
 
 const waitTimeout = 5 * time.Second
 
-// receiver records the changes that it receives, and has seen answers to some digests.
+// receiver records the items that it receives, and replies.
 type receiver struct {
 	mu       sync.Mutex
-	received []quarantine.Change
-	answered []quarantine.Digest
+	received []string
+	replies  []int
 }
 
-func (r *receiver) Receive(_ time.Time, changes []quarantine.Change) []quarantine.Digest {
+func (r *receiver) receive(_ time.Time, items []string) []int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.received = append(r.received, changes...)
-	return slices.Clone(r.answered)
+	r.received = append(r.received, items...)
+	return slices.Clone(r.replies)
 }
 
 func (r *receiver) count() int {
@@ -42,23 +40,25 @@
 
 // fleet is a set of routers, of which the first one sends.
 type fleet struct {
-	senders   []*Sender
+	senders   []*Sender[string, int]
 	receivers []*receiver
 	servers   []*httptest.Server
 	addresses []netip.AddrPort
-	answered  chan []quarantine.Digest // passed to OnAnswered of the first router
+	replies   chan []int // passed to OnReplies of the first router
 }
 
 func newFleet(t *testing.T, n int) *fleet {
-	f := &fleet{answered: make(chan []quarantine.Digest, 10)}
+	f := &fleet{replies: make(chan []int, 10)}
 	for range n {
-		s := New(Settings{
-			Peers:      func() []netip.AddrPort { return f.addresses[1:] },
-			OnAnswered: func(_ time.Time, digests ...quarantine.Digest) { f.answered <- digests },
-			Timeout:    2 * time.Second, Clock: time.Now, Log: hclog.NewNullLogger(),
-		})
 		r := new(receiver)
-		server := httptest.NewServer(s.Handler(r))
+		s := New(Settings[string, int]{
+			Path:      "/news",
+			Receive:   r.receive,
+			OnReplies: func(_ time.Time, replies []int) { f.replies <- replies },
+			Peers:     func() []netip.AddrPort { return f.addresses[1:] },
+			Timeout:   2 * time.Second, Clock: time.Now, Log: hclog.NewNullLogger(),
+		})
+		server := httptest.NewServer(s)
 		t.Cleanup(server.Close)
 		t.Cleanup(func() { assert.NoError(t, s.Close()) })
 		f.senders, f.receivers, f.servers = append(f.senders, s), append(f.receivers, r), append(f.servers, server)
@@ -67,21 +67,21 @@
 	return f
 }
 
-var changes = []quarantine.Change{{Digest: "d", Upstream: "u1"}}
+var items = []string{"news"}
 
-// TestAllRoutersReceiveChanges checks that each router receives changes exactly once,
-// directly or through another one, and that the sender learns which digests are sound.
-func TestAllRoutersReceiveChanges(t *testing.T) {
+// TestAllRoutersReceiveNews checks that each router receives news exactly once, directly or
+// through another one, and that the sender receives the replies.
+func TestAllRoutersReceiveNews(t *testing.T) {
 	for _, n := range []int{2, 9, 3 * maxGroups} {
 		t.Run(fmt.Sprint(n), func(t *testing.T) {
 			f := newFleet(t, n)
-			f.receivers[n-1].answered = []quarantine.Digest{"d"}
-			f.senders[0].Send(changes)
+			f.receivers[n-1].replies = []int{7, 5, 7}
+			f.senders[0].Send(items)
 			select {
-			case digests := <-f.answered:
-				assert.Equal(t, []quarantine.Digest{"d"}, digests)
+			case replies := <-f.replies:
+				assert.Equal(t, []int{5, 7}, replies)
 			case <-time.After(waitTimeout):
-				require.Fail(t, "the sender was not told of the answer")
+				require.Fail(t, "the sender received no reply")
 			}
 			for i, r := range f.receivers {
 				assert.Equal(t, min(i, 1), r.count(), "router %d", i)
@@ -91,17 +91,17 @@
 }
 
 // TestRouterThatDoesNotRespondIsPassedOver checks that the other routers of a group receive
-// changes although the first one of the group has ended.
+// news although the first one of the group has ended.
 func TestRouterThatDoesNotRespondIsPassedOver(t *testing.T) {
 	f := newFleet(t, 3*maxGroups)
 	f.servers[1].Close()
-	f.senders[0].Send(changes)
+	f.senders[0].Send(items)
 	for i, r := range f.receivers[2:] {
 		require.Eventually(t, func() bool { return r.count() == 1 }, waitTimeout, time.Millisecond, "router %d", i+2)
 	}
 }
 
-func TestMalformedChanges(t *testing.T) {
+func TestMalformedNews(t *testing.T) {
 	f := newFleet(t, 1)
 	response, err := http.Post(f.servers[0].URL, "application/json", nil)
 	require.NoError(t, err)
@@ -111,5 +111,5 @@
 
 func TestSendWithoutPeers(t *testing.T) {
 	f := newFleet(t, 1)
-	assert.Empty(t, f.senders[0].sendToAll(context.Background(), changes, nil, maxGroups))
+	assert.Empty(t, f.senders[0].sendToAll(context.Background(), items, nil, maxGroups))
 }
--- a/internal/edge/defaults.go
+++ b/internal/edge/defaults.go
@@ -68,7 +68,7 @@
 	// quarantineTrialSpread is the time over which the routers try a request again after
 	// the term of its quarantine.
 	quarantineTrialSpread = time.Minute
-	// broadcastTimeout bounds the call that sends changes of the list to another router.
+	// broadcastTimeout bounds the call that sends news to another router.
 	broadcastTimeout = 400 * time.Millisecond
 	// dutyTimeout bounds a call to a router that writes on behalf of all routers.
 	// That router batches writes and may have to repeat one after a conflict.
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -28,6 +28,7 @@
 	"github.com/hashicorp/go-hclog"
 	"gopkg.in/tomb.v2"
 
+	"example.org/lagoonfork/internal/broadcast"
 	"example.org/lagoonfork/internal/congestion"
 	"example.org/lagoonfork/internal/duty"
 	"example.org/lagoonfork/internal/event"
@@ -43,7 +44,6 @@
 	"example.org/lagoonfork/internal/pageowner"
 	"example.org/lagoonfork/internal/presence"
 	"example.org/lagoonfork/internal/quarantine"
-	"example.org/lagoonfork/internal/quarantine/broadcast"
 	"example.org/lagoonfork/internal/quarantine/keeper"
 	"example.org/lagoonfork/internal/quarantine/writer"
 	"example.org/lagoonfork/internal/repeats"
@@ -130,7 +130,7 @@
 	pool           *exchange.Pool
 	duties         *duty.Caller
 	quarantine     *keeper.Keeper
-	broadcast      *broadcast.Sender // of changes of the quarantine list
+	crashNews      *broadcast.Sender[quarantine.Change, quarantine.Digest]
 	roster         *roster.Roster
 	intake         *intake.Intake
 	endpoints      []*endpoint
@@ -228,18 +228,22 @@
 		Log:               s.Log,
 		Interval:          walletInterval,
 	})
-	r.broadcast = broadcast.New(broadcast.Settings{
-		Peers:      r.peerAddresses,
-		OnAnswered: func(now time.Time, digests ...quarantine.Digest) { r.quarantine.Clear(now, digests...) },
-		Timeout:    broadcastTimeout,
-		Clock:      s.Clock,
-		Log:        s.Log,
+	r.crashNews = broadcast.New(broadcast.Settings[quarantine.Change, quarantine.Digest]{
+		Path:  crashNewsPath,
+		Peers: r.peerAddresses,
+		Receive: func(now time.Time, changes []quarantine.Change) []quarantine.Digest {
+			return r.quarantine.Receive(now, changes)
+		},
+		OnReplies: func(now time.Time, answered []quarantine.Digest) { r.quarantine.Clear(now, answered...) },
+		Timeout:   broadcastTimeout,
+		Clock:     s.Clock,
+		Log:       s.Log,
 	})
 	r.quarantine = keeper.New(keeper.Settings{
 		Store:      s.Store,
 		Mirror:     r.quarantineList,
 		Writer:     writer.New(r.duties),
-		Peers:      r.broadcast,
+		Peers:      r.crashNews,
 		TrialDelay: rand.N(quarantineTrialSpread),
 		Linger:     quarantineLinger,
 		Clock:      s.Clock,
@@ -352,7 +356,7 @@
 	err = errors.Join(err, r.tomb.Wait())
 	closing, done := context.WithTimeout(context.Background(), closeTimeout)
 	defer done()
-	err = errors.Join(err, r.wallet.Close(closing), r.ledger.Close(closing), r.quarantine.Close(), r.broadcast.Close(), <-deregistered)
+	err = errors.Join(err, r.wallet.Close(closing), r.ledger.Close(closing), r.quarantine.Close(), r.crashNews.Close(), <-deregistered)
 	for _, m := range r.mirrors() {
 		err = errors.Join(err, m.Close())
 	}
--- a/internal/edge/endpoint.go
+++ b/internal/edge/endpoint.go
@@ -17,7 +17,6 @@
 	"example.org/lagoonfork/internal/lending"
 	"example.org/lagoonfork/internal/mirror"
 	"example.org/lagoonfork/internal/pageowner"
-	"example.org/lagoonfork/internal/quarantine/broadcast"
 	"example.org/lagoonfork/internal/quarantine/inspection"
 	"example.org/lagoonfork/internal/quarantine/writer"
 )
@@ -66,6 +65,9 @@
 	return err
 }
 
+// crashNewsPath is the path at which routers tell each other of crashes of upstreams.
+const crashNewsPath = "/peer/news/crashes"
+
 // MetricsPath is the path of the router's metrics at its endpoint for peers.
 const MetricsPath = "/metrics"
 
@@ -76,7 +78,7 @@
 	mux.Handle(pat.Get(MetricsPath), r.metrics)
 	mux.Handle(pat.Post(pageowner.Path+":page"), pageowner.Handler(r.ledger))
 	mux.Handle(pat.Post(writer.Path), writer.Handler(r.quarantine))
-	mux.Handle(pat.Post(broadcast.Path), r.broadcast.Handler(r.quarantine))
+	mux.Handle(pat.Post(crashNewsPath), r.crashNews)
 	mux.Handle(pat.Get(inspection.Path), inspection.List(r.quarantine))
 	mux.Handle(pat.Delete(inspection.Path+"/:digest"), inspection.Clear(r.quarantine, r.settings.Clock))
 	mux.Handle(pat.Post(lending.Path+"/:kind"), lending.Handler(lending.HandlerSettings{
--- a/internal/event/routing.go
+++ b/internal/event/routing.go
@@ -26,8 +26,8 @@
 		"An upstream was lost while it ran a request, and the loss counts against the digest of the request's content or of a part of its prompt. Fields: digest, part, upstream, customer, prior (crashes that counted before), answerBegan, ended (whether the upstream is known to have ended).")
 	CrashesCleared = define(318, "crashes cleared",
 		"An answer to a request with a suspect digest began or was completed, or an operator cleared the digest; its crashes no longer count. Fields: digest.")
-	QuarantineNotBroadcast = define(319, "quarantine not broadcast",
-		"Another router did not accept this router's changes to the list of crashing requests directly; it reads them from the key-value service. Fields: peer, error.")
+	NotBroadcast = define(319, "news not accepted",
+		"Another router did not accept news that was sent to it directly, of crashing requests or of the limits of upstreams. Fields: path, peer, error.")
 	UpstreamEnded = define(320, "upstream lost",
 		"The connection to an upstream was lost before the answer to a request began, and a new connection was tried. Fields: upstream, ended (whether it was refused), error.")
 	LimitReceived = define(321, "limit received",
