Keep the limits that upstreams name, over all routers together

Callers and operators saw an upstream that had named a limit of 1.2 requests a second get 13 in 4 s, 12 are allowed, and one with a limit of 1 get 12 of 11.

Cause: the header was not read at all; the load was the only statement of an upstream that counted. Class: a bound of the fleet that no router, or each router for itself, keeps. A bucket of one request at each of 9 routers would already break it at a limit of 1.

Change: a limit is held by few routers at a time, in turns of 10 s that all compute alike (docs/design/limits.md); the others send nothing. Every request takes its permission where its upstream is chosen: first attempts, retries and resumptions. What does not fit goes to another upstream at once, and is refused with the limits' own Retry-After only when none is left. Routers tell each other of changes and remind each other; old responses neither raise nor lift a limit.

--- a/internal/affinity/affinity.go
+++ b/internal/affinity/affinity.go
@@ -6,7 +6,8 @@
 // is the same on all routers. The highest-ranked upstream whose load does not
 // exceed a multiple of the mean is chosen, so that a popular prefix spreads over
 // several upstreams. Requests without a shared prefix go to the least loaded
-// upstream. An upstream that failed is not chosen for a short time.
+// upstream. An upstream that failed is not chosen for a short time, and one that names a
+// limit only when this router may send it a request. See package allowance.
 //
 // The package does no I/O and does not read the clock.
 //
@@ -26,6 +27,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"example.org/lagoonfork/internal/allowance"
 	"example.org/lagoonfork/pkg/ident"
 )
 
@@ -67,6 +69,20 @@
 	Exclude []ident.Upstream
 	// RouterCount is the number of routers that send to the upstreams.
 	RouterCount int
+	// Fleet holds the routers that share the limits of upstreams. If it is nil, this router
+	// is the only one.
+	Fleet *allowance.Fleet
+}
+
+// alone is the fleet of a router that is the only one.
+var alone = new(allowance.Fleet)
+
+// fleet returns Fleet or alone.
+func (q *Query) fleet() *allowance.Fleet {
+	if q.Fleet == nil {
+		return alone
+	}
+	return q.Fleet
 }
 
 // Outcome is the result of a request with respect to its upstream.
@@ -104,6 +120,9 @@
 	reportedAt          time.Time
 	consecutiveFailures int
 	pausedUntil         time.Time // end of the pause after a failure
+
+	allowance allowance.Allowance
+	published allowance.Statement // that the other routers have been told or have told
 }
 
 // New returns an empty Table for a router in the given failure domain.
@@ -142,6 +161,7 @@
 			m = s.highestScored(t.members, m)
 		}
 		if m != nil {
+			m.allowance.Spend(now)
 			return m.Upstream, true
 		}
 	}
@@ -160,7 +180,8 @@
 }
 
 func (s *selection) isCandidate(m *member) bool {
-	return (s.includePaused || !s.now.Before(m.pausedUntil)) && !slices.Contains(s.query.Exclude, m.ID)
+	return (s.includePaused || !s.now.Before(m.pausedUntil)) && !slices.Contains(s.query.Exclude, m.ID) &&
+		m.allowance.Permits(s.now, m.ID, s.query.fleet())
 }
 
 // leastLoaded returns the candidate with the least load per slot, with a slight
--- /dev/null
+++ b/internal/affinity/limits_test.go
@@ -0,0 +1,91 @@
+package affinity
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"example.org/lagoonfork/internal/allowance"
+	"example.org/lagoonfork/pkg/ident"
+)
+
+func named(upstream ident.Upstream, perSecond float64) allowance.News {
+	return allowance.News{Upstream: upstream, Statement: allowance.Statement{Named: true, PerSecond: perSecond}}
+}
+
+// TestLimitedUpstreamIsPassedOver guards against requests beyond the limit of an upstream because it is the one of the affinity, the least loaded or the last one left.
+func TestLimitedUpstreamIsPassedOver(t *testing.T) {
+	table := newTable(3)
+	q := Query{Key: 7, RouterCount: 1}
+	first := choose(t, table, q)
+	assert.True(t, table.HearLimit(now, now, named(first, 2)))
+	second := choose(t, table, q)
+	assert.NotEqual(t, first, second)
+	assert.NotEqual(t, first, choose(t, table, Query{}))
+
+	for _, u := range testUpstreams(3) {
+		if u.ID != first {
+			table.Begin(u.ID)
+			table.End(now, u.ID, Failed)
+		}
+	}
+	assert.NotEqual(t, first, choose(t, table, q), "upstreams after a failure come before limits are exceeded")
+	for _, u := range testUpstreams(3) {
+		if u.ID != first {
+			q.Exclude = append(q.Exclude, u.ID)
+		}
+	}
+	_, ok := table.Choose(now, q)
+	assert.False(t, ok)
+	wait, limited := table.Wait(now, q)
+	assert.True(t, limited)
+	assert.Equal(t, 500*time.Millisecond, wait)
+	u, ok := table.Choose(now.Add(wait), q)
+	assert.True(t, ok)
+	assert.Equal(t, first, u.ID)
+	_, ok = table.Choose(now.Add(wait), q)
+	assert.False(t, ok, "one request for each half of a second")
+}
+
+// TestLimitEndsWithTheIncarnation guards against a limit that outlives the process that named
+// it, and against news of an earlier process.
+func TestLimitEndsWithTheIncarnation(t *testing.T) {
+	table := newTable(1)
+	table.HearLimit(now, now, named("u0", 0))
+	_, ok := table.Choose(now, Query{})
+	assert.False(t, ok)
+	restarted := testUpstreams(1)
+	restarted[0].Incarnation = "2"
+	table.Configure(restarted)
+	assert.False(t, table.HearLimit(now, now, named("u0", 0)), "the response is from the earlier process")
+	table.LearnLimit(now, named("u0", 0))
+	_, ok = table.Choose(now, Query{})
+	assert.True(t, ok)
+}
+
+// TestLimitIsToldOnce guards against calls of all routers for each response of a limited
+// upstream.
+func TestLimitIsToldOnce(t *testing.T) {
+	table := newTable(2)
+	at := now
+	hear := func(n allowance.News) bool {
+		at = at.Add(time.Second)
+		return table.HearLimit(at, at, n)
+	}
+	assert.True(t, hear(named("u0", 10)))
+	assert.False(t, hear(named("u0", 10)))
+	assert.False(t, hear(named("u0", 10.5)))
+	assert.True(t, hear(named("u0", 12)))
+	assert.True(t, hear(allowance.News{Upstream: "u0"}))
+	assert.False(t, hear(allowance.News{Upstream: "u0"}))
+	table.LearnLimit(at, named("u1", 3))
+	assert.False(t, hear(named("u1", 3)), "another router has told all of them")
+}
+
+func TestReminders(t *testing.T) {
+	table := newTable(2)
+	assert.Empty(t, table.Reminders(now, alone))
+	table.HearLimit(now, now, named("u1", 3))
+	assert.Equal(t, []allowance.News{named("u1", 3)}, table.Reminders(now, alone))
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -28,6 +28,7 @@
 	"github.com/hashicorp/go-hclog"
 	"gopkg.in/tomb.v2"
 
+	"example.org/lagoonfork/internal/allowance"
 	"example.org/lagoonfork/internal/broadcast"
 	"example.org/lagoonfork/internal/congestion"
 	"example.org/lagoonfork/internal/duty"
@@ -131,6 +132,7 @@
 	duties         *duty.Caller
 	quarantine     *keeper.Keeper
 	crashNews      *broadcast.Sender[quarantine.Change, quarantine.Digest]
+	limitNews      *broadcast.Sender[allowance.News, string]
 	roster         *roster.Roster
 	intake         *intake.Intake
 	endpoints      []*endpoint
@@ -159,6 +161,7 @@
 		r.endpoints = append(r.endpoints, listening)
 	}
 	r.tomb.Go(r.freePredecessorShares)
+	r.tomb.Go(r.remindOfLimits)
 	r.tomb.Go(r.logMetricsPeriodically)
 	event.EdgeStarted.Info(s.Log, "vm", s.VM, "incarnation", s.Incarnation, "failureDomain", s.FailureDomain)
 	return r, nil
@@ -239,6 +242,14 @@
 		Clock:     s.Clock,
 		Log:       s.Log,
 	})
+	r.limitNews = broadcast.New(broadcast.Settings[allowance.News, string]{
+		Path:    limitNewsPath,
+		Peers:   r.peerAddresses,
+		Receive: r.learnLimits,
+		Timeout: broadcastTimeout,
+		Clock:   s.Clock,
+		Log:     s.Log,
+	})
 	r.quarantine = keeper.New(keeper.Settings{
 		Store:      s.Store,
 		Mirror:     r.quarantineList,
@@ -262,6 +273,8 @@
 			Quarantine:  r.quarantine,
 			RetryLimits: s.RetryLimits,
 			RouterCount: r.RouterCount,
+			Fleet:       r.members.fleet,
+			OnLimit:     func(n allowance.News) { r.limitNews.Send([]allowance.News{n}) },
 			Metrics:     r.metrics,
 			Clock:       s.Clock,
 			Log:         s.Log,
@@ -356,7 +369,7 @@
 	err = errors.Join(err, r.tomb.Wait())
 	closing, done := context.WithTimeout(context.Background(), closeTimeout)
 	defer done()
-	err = errors.Join(err, r.wallet.Close(closing), r.ledger.Close(closing), r.quarantine.Close(), r.crashNews.Close(), <-deregistered)
+	err = errors.Join(err, r.wallet.Close(closing), r.ledger.Close(closing), r.quarantine.Close(), r.crashNews.Close(), r.limitNews.Close(), <-deregistered)
 	for _, m := range r.mirrors() {
 		err = errors.Join(err, m.Close())
 	}
--- a/internal/edge/endpoint.go
+++ b/internal/edge/endpoint.go
@@ -65,8 +65,11 @@
 	return err
 }
 
-// crashNewsPath is the path at which routers tell each other of crashes of upstreams.
-const crashNewsPath = "/peer/news/crashes"
+// Paths at which routers tell each other of crashes of upstreams and of their limits.
+const (
+	crashNewsPath = "/peer/news/crashes"
+	limitNewsPath = "/peer/news/limits"
+)
 
 // MetricsPath is the path of the router's metrics at its endpoint for peers.
 const MetricsPath = "/metrics"
@@ -79,6 +82,7 @@
 	mux.Handle(pat.Post(pageowner.Path+":page"), pageowner.Handler(r.ledger))
 	mux.Handle(pat.Post(writer.Path), writer.Handler(r.quarantine))
 	mux.Handle(pat.Post(crashNewsPath), r.crashNews)
+	mux.Handle(pat.Post(limitNewsPath), r.limitNews)
 	mux.Handle(pat.Get(inspection.Path), inspection.List(r.quarantine))
 	mux.Handle(pat.Delete(inspection.Path+"/:digest"), inspection.Clear(r.quarantine, r.settings.Clock))
 	mux.Handle(pat.Post(lending.Path+"/:kind"), lending.Handler(lending.HandlerSettings{
--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -7,6 +7,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"example.org/lagoonfork/internal/allowance"
 	"example.org/lagoonfork/internal/event"
 	"example.org/lagoonfork/internal/membership"
 	"example.org/lagoonfork/internal/mirror"
@@ -25,6 +26,7 @@
 	changed     <-chan struct{}
 	records     []membership.Record
 	domainCount int // failure domains of the records
+	routers     *allowance.Fleet
 }
 
 func newMembers(vm ident.VM, domain ident.FailureDomain, log hclog.Logger) *members {
@@ -63,9 +65,22 @@
 		m.records = append(m.records, record)
 	}
 	m.domainCount = membership.CountDomains(m.records)
+	m.routers = &allowance.Fleet{Self: m.vm}
+	for _, r := range m.records {
+		m.routers.Routers = append(m.routers.Routers, r.VM)
+	}
 	return m.records
 }
 
+// fleet returns the routers that share the limits of upstreams, or nil while no record is
+// known.
+func (m *members) fleet() *allowance.Fleet {
+	m.all()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.routers
+}
+
 // failureDomains returns the number of failure domains that have routers, or 1 while
 // no router is known.
 func (m *members) failureDomains() int {
--- a/internal/event/routing.go
+++ b/internal/event/routing.go
@@ -32,6 +32,8 @@
 		"The connection to an upstream was lost before the answer to a request began, and a new connection was tried. Fields: upstream, ended (whether it was refused), error.")
 	LimitReceived = define(321, "limit received",
 		"The response to a request names the number of requests per second that the upstream accepts from all routers together. Fields: request, upstream, state (1 named, 2 unreadable), perSecond.")
+	LimitChanged = define(322, "limit changed",
+		"An upstream names another number of requests per second that it accepts from all routers together, or none any more. The other routers are told. Fields: upstream, named, perSecond.")
 	LoadNotRead = define(311, "load not read",
 		"An upstream did not report its load. It temporarily receives no new requests.")
 	VMListNotRead = define(314, "list of VMs not read",
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -4,10 +4,12 @@
 	"context"
 	"errors"
 	"io"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 
 	"example.org/lagoonfork/internal/affinity"
+	"example.org/lagoonfork/internal/allowance"
 	"example.org/lagoonfork/internal/event"
 	"example.org/lagoonfork/internal/exchange"
 	"example.org/lagoonfork/internal/roster"
@@ -32,6 +34,9 @@
 	outcomeServerError
 )
 
+// maxLimit is the greatest limit in requests per second that is told apart from larger ones.
+const maxLimit = 1e9
+
 var (
 	errWrongRequest  = errors.New("response belongs to another request")
 	errUnsigned      = errors.New("response has no signature")
@@ -58,6 +63,7 @@
 	}()
 	t.admission.OnRevoked(func() { cancel(errRevoked) })
 	t.attemptEvents = 0
+	sent := t.now()
 	response, err := t.send(ctx, u)
 	t.answerBegan = err == nil
 	if err != nil {
@@ -73,10 +79,32 @@
 	if info.HasLoad && !info.WrongRequest {
 		table.SetLoad(t.now(), u.ID, info.Load)
 	}
-	if info.Limit.State != LimitNone && !info.WrongRequest {
+	t.hearLimit(table, u, sent, info)
+	return t.receive(response, info)
+}
+
+// hearLimit applies what a response to a request that was sent at the given time says about
+// the limit of the upstream.
+func (t *transfer) hearLimit(table *affinity.Table, u roster.Upstream, sent time.Time, info ResponseInfo) {
+	fromUpstream := info.Signed || info.NotRun
+	if info.WrongRequest || info.Limit.State == LimitNone && !fromUpstream {
+		return
+	}
+	if info.Limit.State != LimitNone {
 		event.LimitReceived.Info(t.f.settings.Log, "request", t.r.ID, "upstream", u.ID, "state", info.Limit.State, "perSecond", info.Limit.PerSecond)
 	}
-	return t.receive(response, info)
+	if info.Limit.State == LimitUnreadable {
+		return
+	}
+	news := allowance.News{Upstream: u.ID, Incarnation: u.Incarnation}
+	if info.Limit.State == LimitNamed {
+		news.Statement = allowance.Statement{Named: true, PerSecond: min(info.Limit.PerSecond, maxLimit)}
+	}
+	if table.HearLimit(t.now(), sent, news) {
+		news.Statement = table.LimitOf(u.ID)
+		event.LimitChanged.Info(t.f.settings.Log, "upstream", u.ID, "named", news.Statement.Named, "perSecond", news.Statement.PerSecond)
+		t.f.settings.OnLimit(news)
+	}
 }
 
 // send sends the request and returns the response once its headers were read.
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -28,6 +28,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"example.org/lagoonfork/internal/allowance"
 	"example.org/lagoonfork/internal/event"
 	"example.org/lagoonfork/internal/exchange"
 	"example.org/lagoonfork/internal/figures"
@@ -86,9 +87,13 @@
 	RetryLimits repeats.Limits
 	// RouterCount returns the number of routers in the fleet.
 	RouterCount func() int
-	Metrics     *figures.Metrics
-	Clock       func() time.Time
-	Log         hclog.Logger
+	// Fleet returns the routers that share the limits of upstreams.
+	Fleet func() *allowance.Fleet
+	// OnLimit is called when an upstream names another limit, or none any more.
+	OnLimit func(allowance.News)
+	Metrics *figures.Metrics
+	Clock   func() time.Time
+	Log     hclog.Logger
 }
 
 // Forwarder forwards requests. Its methods are safe for concurrent use.
--- a/internal/forward/harness_test.go
+++ b/internal/forward/harness_test.go
@@ -15,6 +15,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/stretchr/testify/require"
 
+	"example.org/lagoonfork/internal/allowance"
 	"example.org/lagoonfork/internal/exchange"
 	"example.org/lagoonfork/internal/fake/keyvalue"
 	"example.org/lagoonfork/internal/figures"
@@ -44,7 +45,15 @@
 }
 
 func (testTranslator) ParseResponse(id ident.Request, _ int, h http.Header) ResponseInfo {
+	var limit Limit
+	if v := h.Get("Limit"); v != "" {
+		limit.State = LimitUnreadable
+		if n, err := strconv.ParseFloat(v, 64); err == nil {
+			limit = Limit{State: LimitNamed, PerSecond: n}
+		}
+	}
 	return ResponseInfo{
+		Limit:        limit,
 		WrongRequest: h.Get("Request") != string(id),
 		NotRun:       h.Get("Not-Run") != "",
 		Signed:       h.Get("Signature") != "",
@@ -91,6 +100,7 @@
 	quarantine *keeper.Keeper
 	server     *httptest.Server
 	servers    []*httptest.Server // of the upstreams
+	limits     []allowance.News   // passed to OnLimit
 	request    func(h *http.Request) *Request
 }
 
@@ -127,7 +137,7 @@
 	f.forwarder = New(Settings{
 		Pool: pool, Roster: upstreamRoster, Wallet: f.wallet, HeaderTranslator: testTranslator{}, Quarantine: f.quarantine,
 		RetryLimits: repeats.Limits{Ratio: 1, Slack: 100, Window: time.Minute},
-		RouterCount: func() int { return 1 }, Metrics: figures.New(), Clock: time.Now, Log: hclog.NewNullLogger(),
+		RouterCount: func() int { return 1 }, Fleet: func() *allowance.Fleet { return nil }, OnLimit: func(n allowance.News) { f.limits = append(f.limits, n) }, Metrics: figures.New(), Clock: time.Now, Log: hclog.NewNullLogger(),
 	})
 	f.request = func(h *http.Request) *Request {
 		now := time.Now()
--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -71,13 +71,15 @@
 // delivered or no further attempt is possible.
 func (t *transfer) run() {
 	for {
-		u, ok := t.f.settings.Roster.Choose(t.now(), t.r.Service.ID, affinity.Query{
+		q := affinity.Query{
 			Key:         t.r.affinityKey(),
 			Exclude:     t.tried,
 			RouterCount: t.f.settings.RouterCount(),
-		})
+			Fleet:       t.f.settings.Fleet(),
+		}
+		u, ok := t.f.settings.Roster.Choose(t.now(), t.r.Service.ID, q)
 		if !ok {
-			t.finishFailed("noUpstream")
+			t.finishNoUpstream(q)
 			return
 		}
 		t.tried = append(t.tried, u.ID)
@@ -287,8 +289,24 @@
 	WriteError(t.w, status, reason, retryAfter)
 }
 
-// finishRefused ends a request that the quarantine refuses after an attempt. If no attempt
-// may have run it, the caller learns when to send it again.
+// finishNoUpstream ends a request for which there is no upstream. If that is because of
+// limits that upstreams name, the caller learns when these allow the next request.
+func (t *transfer) finishNoUpstream(q affinity.Query) {
+	table := t.f.settings.Roster.Service(t.r.Service.ID)
+	if table == nil {
+		t.finishFailed("noUpstream")
+		return
+	}
+	wait, limited := table.Wait(t.now(), q)
+	if !limited {
+		t.finishFailed("noUpstream")
+		return
+	}
+	t.finishRefused(refusal{status: http.StatusServiceUnavailable, reason: "upstreamLimits", retryAfter: jitter(max(wait, otherRouterRetryAfter))})
+}
+
+// finishRefused ends a request that is not sent to another upstream. If no attempt may have
+// run it, the caller learns when to send it again.
 func (t *transfer) finishRefused(r refusal) {
 	if t.runs > 0 || t.headerWritten || t.serverError != nil {
 		t.finishFailed(r.reason)
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -16,6 +16,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"example.org/lagoonfork/internal/affinity"
+	"example.org/lagoonfork/internal/allowance"
 	"example.org/lagoonfork/internal/event"
 	"example.org/lagoonfork/pkg/ident"
 )
@@ -112,6 +113,29 @@
 	return u, ok
 }
 
+// LearnLimit records what another router has heard about the limit of an upstream.
+func (r *Roster) LearnLimit(now time.Time, n allowance.News) {
+	r.mu.RLock()
+	u, ok := r.upstreams[n.Upstream]
+	r.mu.RUnlock()
+	if !ok {
+		return
+	}
+	if table := r.Service(u.Service); table != nil {
+		table.LearnLimit(now, n)
+	}
+}
+
+// Reminders returns the limits of which this router reminds the others.
+func (r *Roster) Reminders(now time.Time, f *allowance.Fleet) (all []allowance.News) {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	for _, table := range r.services {
+		all = append(all, table.Reminders(now, f)...)
+	}
+	return all
+}
+
 // Len returns the number of upstreams.
 func (r *Roster) Len() int {
 	r.mu.RLock()
