forward: the load and the limit of another upstream do not count for the intended one

An address that a worker has left may be taken over by another one, which then responds with 421. Its headers were applied to the upstream that the request was meant for: a limit would have kept requests from it, and a load spoiled the choice of upstreams. A request that is quarantined during an attempt that had not sent it now gets the time until its quarantine ends.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -76,7 +76,7 @@
 	}
 	defer response.Close()
 	info := t.f.settings.HeaderTranslator.ParseResponse(t.r.ID, response.Status, response.Header)
-	if info.HasLoad && !info.WrongRequest {
+	if info.HasLoad && !info.WrongRequest && !info.WrongUpstream {
 		table.SetLoad(t.now(), u.ID, info.Load)
 	}
 	t.hearLimit(table, u, sent, info)
@@ -87,7 +87,7 @@
 // the limit of the upstream.
 func (t *transfer) hearLimit(table *affinity.Table, u roster.Upstream, sent time.Time, info ResponseInfo) {
 	fromUpstream := info.Signed || info.NotRun
-	if info.WrongRequest || info.Limit.State == LimitNone && !fromUpstream {
+	if info.WrongRequest || info.WrongUpstream || info.Limit.State == LimitNone && !fromUpstream {
 		return
 	}
 	if info.Limit.State != LimitNone {
--- a/internal/forward/harness_test.go
+++ b/internal/forward/harness_test.go
@@ -56,7 +56,9 @@
 		Limit:        limit,
 		WrongRequest: h.Get("Request") != string(id),
 		NotRun:       h.Get("Not-Run") != "",
-		Signed:       h.Get("Signature") != "",
+
+		WrongUpstream: h.Get("Wrong-Upstream") != "",
+		Signed:        h.Get("Signature") != "",
 	}
 }
 
--- a/internal/forward/limit_test.go
+++ b/internal/forward/limit_test.go
@@ -28,6 +28,10 @@
 		{"zero", "0", succeed, true},
 		{"infinite", "Inf", succeed, false},
 		{"unreadable", "some", succeed, false},
+		{"of another upstream", "0.5", func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Wrong-Upstream", "1")
+			reject(w, r)
+		}, false},
 		{"of another request", "0.5", func(w http.ResponseWriter, r *http.Request) {
 			sign(w, r)
 			w.Header().Set("Request", "another")
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -111,6 +111,10 @@
 type ResponseInfo struct {
 	// WrongRequest reports that the response belongs to another request.
 	WrongRequest bool
+	// WrongUpstream reports that another upstream than the intended one has responded, as
+	// one does that has taken over its address. What the headers say is not of the
+	// intended one.
+	WrongUpstream bool
 	// NotRun reports that the upstream has not run and will not run the request.
 	NotRun bool
 	// Signed reports that the response carries the upstream's signature.
--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -92,7 +92,7 @@
 			"run", out == outcomeLost || out == outcomeServerError, "took", t.now().Sub(t.r.Arrived), "events", t.eventsSent,
 			"answerBegan", t.answerBegan, "parts", t.r.partIDs())
 		if errors.Is(err, errRevoked) {
-			t.finishFailed("quarantined")
+			t.finishRevoked()
 			return
 		}
 		if out == outcomeLost && t.ctx.Err() == nil && connectionLost(err) {
@@ -125,6 +125,15 @@
 	return nil
 }
 
+// finishRevoked ends a request that was quarantined during an attempt.
+func (t *transfer) finishRevoked() {
+	if refused := t.begin(); refused != nil {
+		t.finishRefused(*refused)
+		return
+	}
+	t.finishFailed("quarantined")
+}
+
 // recordLoss reports the loss of the connection to an upstream to the quarantine. It finds
 // out whether the upstream has ended if that counts, which is before the answer begins.
 func (t *transfer) recordLoss(u roster.Upstream) {
