repeats: a router that knows no router's record does not use the whole fixed number

Each router that starts counted itself as the only one until the first record arrived, and could use the fleet's whole fixed number of retries. The new test failed before (the first retry was permitted).

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -317,9 +317,10 @@
 	}
 }
 
-// RouterCount returns the number of known routers, including this one.
+// RouterCount returns the number of known routers, including this one, or 0 while no record
+// is known.
 func (r *Router) RouterCount() int {
-	return max(r.routerRecords.Len(), 1)
+	return r.routerRecords.Len()
 }
 
 // peerAddresses returns the endpoints of the other routers, or the seeds if none is
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -85,7 +85,7 @@
 	// RetryLimits bounds the retries of each service's requests by all routers
 	// together.
 	RetryLimits repeats.Limits
-	// RouterCount returns the number of routers in the fleet.
+	// RouterCount returns the number of routers in the fleet, or 0 if it is unknown.
 	RouterCount func() int
 	// Fleet returns the routers that share the limits of upstreams.
 	Fleet func() *allowance.Fleet
--- a/internal/repeats/repeats.go
+++ b/internal/repeats/repeats.go
@@ -56,12 +56,16 @@
 }
 
 // TryRetry counts a retry and returns true if the budget permits it, given the number of
-// routers that share the fixed part.
+// routers that share the fixed part. If that is 0, it is unknown, and the fixed part is not
+// used.
 func (b *Budget) TryRetry(now time.Time, routers int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	slot := b.advance(now)
-	allowed := b.limits.Ratio*sum(b.requests) + b.limits.Slack/float64(max(routers, 1))
+	allowed := b.limits.Ratio * sum(b.requests)
+	if routers > 0 {
+		allowed += b.limits.Slack / float64(routers)
+	}
 	if sum(b.retries)+1 > allowed {
 		return false
 	}
--- a/internal/repeats/repeats_test.go
+++ b/internal/repeats/repeats_test.go
@@ -22,6 +22,16 @@
 	assert.True(t, b.TryRetry(start.Add(11*time.Second), 3), "the window has passed")
 }
 
+// TestNoSlackWhileTheFleetIsUnknown guards against routers that have just started and each use the whole fixed number, since they know of no other router.
+func TestNoSlackWhileTheFleetIsUnknown(t *testing.T) {
+	b := New(Limits{Ratio: 0.5, Slack: 9, Window: 10 * time.Second})
+	assert.False(t, b.TryRetry(start, 0))
+	b.CountRequest(start)
+	b.CountRequest(start)
+	assert.True(t, b.TryRetry(start, 0), "the ratio applies to the router's own requests")
+	assert.False(t, b.TryRetry(start, 0))
+}
+
 // TestAllRoutersStayWithinTheLimit simulates routers with uneven loads and checks that
 // together they exceed the limit in no window.
 func TestAllRoutersStayWithinTheLimit(t *testing.T) {
