allowance: a router that knows no router's record holds no limit

A router that has just started and knows no record took itself for the only one and held the whole limit of an upstream, beside the routers that hold it.

--- a/internal/allowance/allowance.go
+++ b/internal/allowance/allowance.go
@@ -73,6 +73,8 @@
 type Fleet struct {
 	Self    ident.VM
 	Routers []ident.VM // this router may be missing
+	// Unknown reports that no router is known yet. The router then holds no limit.
+	Unknown bool
 }
 
 // Allowance holds the limit of an upstream and this router's part of it. The zero value
@@ -177,7 +179,7 @@
 		return false
 	}
 	a.update(now, upstream, f)
-	return a.rank == 0
+	return a.rank == 0 && !f.Unknown
 }
 
 // rate returns the requests per second that all routers together may send.
@@ -197,7 +199,7 @@
 	if a.fresh {
 		a.wasHolding, a.grantTurn, a.fresh = true, t, false
 	}
-	holding := a.rank < a.holders
+	holding := a.rank < a.holders && !f.Unknown
 	switch {
 	case !holding:
 		a.tokens = 0
--- a/internal/allowance/allowance_test.go
+++ b/internal/allowance/allowance_test.go
@@ -175,6 +175,18 @@
 	}
 }
 
+// TestUnknownFleetHoldsNoLimit guards against routers that have just started and each hold the whole limit, since they know of no other router.
+func TestUnknownFleetHoldsNoLimit(t *testing.T) {
+	f := &Fleet{Self: "vm-0", Unknown: true}
+	var a Allowance
+	a.Learn(start, Statement{Named: true, PerSecond: 5})
+	assert.False(t, a.Permits(start.Add(3*time.Second), "u", f))
+	assert.False(t, a.First(start.Add(3*time.Second), "u", f))
+	known := &Fleet{Self: "vm-0", Routers: []ident.VM{"vm-0"}}
+	assert.False(t, a.Permits(start.Add(4*time.Second), "u", known), "it starts without a token")
+	assert.True(t, a.Permits(start.Add(5*time.Second), "u", known))
+}
+
 // TestOldResponseIsNoNews checks that a response to a request that was sent before the last
 // news can lower a limit, but neither raise nor lift it.
 func TestOldResponseIsNoNews(t *testing.T) {
--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -27,10 +27,12 @@
 	records     []membership.Record
 	domainCount int // failure domains of the records
 	routers     *allowance.Fleet
+
+	unknownRouters *allowance.Fleet // of a router that knows no record
 }
 
 func newMembers(vm ident.VM, domain ident.FailureDomain, log hclog.Logger) *members {
-	return &members{vm: vm, domain: domain, log: log}
+	return &members{vm: vm, domain: domain, log: log, unknownRouters: &allowance.Fleet{Self: vm, Unknown: true}}
 }
 
 // setMirror sets the mirror of the records. Before that there are no members.
@@ -72,12 +74,14 @@
 	return m.records
 }
 
-// fleet returns the routers that share the limits of upstreams, or nil while no record is
-// known.
+// fleet returns the routers that share the limits of upstreams.
 func (m *members) fleet() *allowance.Fleet {
 	m.all()
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if len(m.records) == 0 {
+		return m.unknownRouters
+	}
 	return m.routers
 }
 
--- a/internal/edge/members_test.go
+++ b/internal/edge/members_test.go
@@ -56,7 +56,9 @@
 		for _, r := range vms {
 			m := newMembers(r.VM, r.FailureDomain, hclog.NewNullLogger())
 			assert.Empty(t, m.relays(name), "before the records are known")
+			assert.True(t, m.fleet().Unknown)
 			m.setMirror(records)
+			assert.Len(t, m.fleet().Routers, len(vms))
 			relays := m.relays(name)
 			if len(relays) == 0 {
 				direct = append(direct, r.Address)
