quarantine: log when a digest is refused, and which parts the digests belong to

Nothing said which decision refused a part: each refusal was logged, not the crash that led to it, and a digest could not be traced to the part. No decision changes.

--- a/internal/event/routing.go
+++ b/internal/event/routing.go
@@ -29,11 +29,13 @@
 	NotBroadcast = define(319, "news not accepted",
 		"Another router did not accept news that was sent to it directly, of crashing requests or of the limits of upstreams. Fields: path, peer, error.")
 	UpstreamEnded = define(320, "upstream lost",
-		"The connection to an upstream was lost before the answer to a request began, and a new connection was tried. Fields: upstream, ended (whether it was refused), error.")
+		"The connection to an upstream was lost before the answer to a request began, and a new connection was tried. Fields: request, upstream, ended (whether it was refused), error, parts (of the prompt), digests (of the parts but the last).")
 	LimitReceived = define(321, "limit received",
 		"The response to a request names the number of requests per second that the upstream accepts from all routers together. Fields: request, upstream, state (1 named, 2 unreadable), perSecond.")
 	LimitChanged = define(322, "limit changed",
 		"An upstream names another number of requests per second that it accepts from all routers together, or none any more. The other routers are told. Fields: upstream, named, perSecond.")
+	DigestQuarantined = define(323, "digest quarantined",
+		"Requests with a digest, of a content or of a part of prompts, are refused by all routers after crashes of upstreams. Event 320 names the parts. Fields: digest, part, customer (of the last crash).")
 	LoadNotRead = define(311, "load not read",
 		"An upstream did not report its load. It temporarily receives no new requests.")
 	VMListNotRead = define(314, "list of VMs not read",
--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -141,7 +141,8 @@
 	if len(t.subject.Parts) > 0 && t.attemptEvents == 0 {
 		var err error
 		loss.Ended, err = t.f.settings.Pool.Refuses(t.ctx, u.Address)
-		event.UpstreamEnded.Info(t.f.settings.Log, "upstream", u.ID, "ended", loss.Ended, "error", err)
+		event.UpstreamEnded.Info(t.f.settings.Log, "request", t.r.ID, "upstream", u.ID, "ended", loss.Ended, "error", err,
+			"parts", t.r.partIDs(), "digests", t.subject.Parts)
 	}
 	t.admission.RecordLoss(t.now(), loss)
 }
--- a/internal/quarantine/keeper/attempt.go
+++ b/internal/quarantine/keeper/attempt.go
@@ -195,7 +195,16 @@
 		changes = append(changes, c)
 	}
 	changes = k.change(now, changes)
+	var quarantined []quarantine.Change
+	for _, c := range changes {
+		if k.list.IsQuarantined(now, c.Digest, c.Customer, a.limit) {
+			quarantined = append(quarantined, c)
+		}
+	}
 	k.mu.Unlock()
+	for _, c := range quarantined {
+		event.DigestQuarantined.Warn(k.settings.Log, "digest", c.Digest, "part", c.Part, "customer", c.Customer)
+	}
 	for _, c := range changes {
 		event.CrashRecorded.Info(k.settings.Log, "digest", c.Digest, "part", c.Part, "upstream", c.Upstream, "customer", c.Customer,
 			"prior", c.Prior, "answerBegan", l.AnswerBegan, "ended", l.Ended)
