keeper: an attempt is not revoked by the loss that it records itself

Callers could get 422 for a request that ran beside a crashing one: its own third crash revoked its attempt, before the routers had recorded what else ran on the upstream, so that the request looked like the only cause. The new test failed before.

--- a/internal/quarantine/keeper/attempt.go
+++ b/internal/quarantine/keeper/attempt.go
@@ -181,6 +181,7 @@
 func (a *Attempt) RecordLoss(now time.Time, l Loss) {
 	k := a.keeper
 	k.mu.Lock()
+	delete(k.attempts, a) // its loss does not revoke it
 	k.answers.advance(now)
 	var changes []quarantine.Change
 	for i, d := range a.digests {
--- a/internal/quarantine/keeper/keeper_test.go
+++ b/internal/quarantine/keeper/keeper_test.go
@@ -189,3 +189,21 @@
 	lose(k, "d", "u1")
 	assert.True(t, k.IsSuspect(now, "d"))
 }
+
+// TestAttemptIsNotRevokedByItsOwnLoss guards against the refusal of a request before other routers could record what else ran on the upstream.
+func TestAttemptIsNotRevokedByItsOwnLoss(t *testing.T) {
+	k := newKeeper(t, keyvalue.New(keyvalue.Settings{}).Client())
+	s := quarantine.Subject{Content: "d"}
+	waiting := k.Begin(now, s, 2)
+	waitingRevoked, ownRevoked := false, false
+	waiting.OnRevoked(func() { waitingRevoked = true })
+	for i := range 2 {
+		a := k.Begin(now, s, 2)
+		a.OnRevoked(func() { ownRevoked = true })
+		a.RecordLoss(now, Loss{Upstream: ident.Upstream(fmt.Sprint("u", i))})
+		a.End()
+	}
+	waiting.End()
+	assert.False(t, ownRevoked)
+	assert.True(t, waitingRevoked)
+}
