allowance: a router without a record holds no limit

A router that the others do not know held a limit beside the routers that they rank: while it stops, and after an outage of the key-value service in which records expired and come back one after the other. At a limit of 1, eight such routers could each take a first request at once. The rule takes the place of the flag for a fleet that is not known at all.

--- a/internal/affinity/affinity.go
+++ b/internal/affinity/affinity.go
@@ -75,7 +75,7 @@
 }
 
 // alone is the fleet of a router that is the only one.
-var alone = new(allowance.Fleet)
+var alone = &allowance.Fleet{Routers: []ident.VM{""}}
 
 // fleet returns Fleet or alone.
 func (q *Query) fleet() *allowance.Fleet {
--- a/internal/allowance/allowance.go
+++ b/internal/allowance/allowance.go
@@ -71,10 +71,10 @@
 
 // Fleet holds the routers that share a limit. It must not be modified.
 type Fleet struct {
-	Self    ident.VM
-	Routers []ident.VM // this router may be missing
-	// Unknown reports that no router is known yet. The router then holds no limit.
-	Unknown bool
+	Self ident.VM
+	// Routers are the routers that have a record. One that is not among them holds no limit,
+	// since the others do not know of it.
+	Routers []ident.VM
 }
 
 // Allowance holds the limit of an upstream and this router's part of it. The zero value
@@ -179,7 +179,7 @@
 		return false
 	}
 	a.update(now, upstream, f)
-	return a.rank == 0 && !f.Unknown
+	return a.rank == 0
 }
 
 // rate returns the requests per second that all routers together may send.
@@ -199,7 +199,7 @@
 	if a.fresh {
 		a.wasHolding, a.grantTurn, a.fresh = true, t, false
 	}
-	holding := a.rank < a.holders && !f.Unknown
+	holding := a.rank < a.holders
 	switch {
 	case !holding:
 		a.tokens = 0
@@ -224,8 +224,12 @@
 	return (now.UnixNano() + offset) / int64(turn)
 }
 
-// rankOf returns the rank of this router for the limit of an upstream in a turn, from 0.
+// rankOf returns the rank of this router for the limit of an upstream in a turn, from 0. It
+// is that after the last router if this one has no record.
 func rankOf(upstream ident.Upstream, turn int64, f *Fleet) (rank int) {
+	if !slices.Contains(f.Routers, f.Self) {
+		return max(len(f.Routers), 1)
+	}
 	own := score(upstream, turn, f.Self)
 	for _, vm := range f.Routers {
 		if s := score(upstream, turn, vm); vm != f.Self && (s < own || s == own && vm < f.Self) {
--- a/internal/allowance/allowance_test.go
+++ b/internal/allowance/allowance_test.go
@@ -175,9 +175,19 @@
 	}
 }
 
-// TestUnknownFleetHoldsNoLimit guards against routers that have just started and each hold the whole limit, since they know of no other router.
-func TestUnknownFleetHoldsNoLimit(t *testing.T) {
-	f := &Fleet{Self: "vm-0", Unknown: true}
+// TestRouterWithoutRecordHoldsNoLimit guards against routers that hold a limit beside its holders, since no other router knows of them: they have just started, are stopping, or their records have expired.
+func TestRouterWithoutRecordHoldsNoLimit(t *testing.T) {
+	for i := range 20 {
+		now := start.Add(time.Duration(i) * turn)
+		for _, others := range [][]ident.VM{nil, {"vm-1"}, {"vm-1", "vm-2"}} {
+			var a Allowance
+			a.Learn(now, Statement{Named: true, PerSecond: 1})
+			f := &Fleet{Self: "vm-0", Routers: others}
+			assert.False(t, a.Permits(now.Add(2*time.Second), "u", f))
+			assert.False(t, a.First(now.Add(2*time.Second), "u", f))
+		}
+	}
+	f := &Fleet{Self: "vm-0"}
 	var a Allowance
 	a.Learn(start, Statement{Named: true, PerSecond: 5})
 	assert.False(t, a.Permits(start.Add(3*time.Second), "u", f))
--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -27,12 +27,10 @@
 	records     []membership.Record
 	domainCount int // failure domains of the records
 	routers     *allowance.Fleet
-
-	unknownRouters *allowance.Fleet // of a router that knows no record
 }
 
 func newMembers(vm ident.VM, domain ident.FailureDomain, log hclog.Logger) *members {
-	return &members{vm: vm, domain: domain, log: log, unknownRouters: &allowance.Fleet{Self: vm, Unknown: true}}
+	return &members{vm: vm, domain: domain, log: log, routers: &allowance.Fleet{Self: vm}}
 }
 
 // setMirror sets the mirror of the records. Before that there are no members.
@@ -79,9 +77,6 @@
 	m.all()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if len(m.records) == 0 {
-		return m.unknownRouters
-	}
 	return m.routers
 }
 
--- a/internal/edge/members_test.go
+++ b/internal/edge/members_test.go
@@ -56,7 +56,7 @@
 		for _, r := range vms {
 			m := newMembers(r.VM, r.FailureDomain, hclog.NewNullLogger())
 			assert.Empty(t, m.relays(name), "before the records are known")
-			assert.True(t, m.fleet().Unknown)
+			assert.Empty(t, m.fleet().Routers)
 			m.setMirror(records)
 			assert.Len(t, m.fleet().Routers, len(vms))
 			relays := m.relays(name)
