affinity: a limit outlives the record of its upstream

The record of an upstream may expire during an outage of the key-value service and come back with the same incarnation. The limit was forgotten with it, and each router sent requests until the first response named it again, 9 or more at once. Limited upstreams that are absent are remembered.

--- a/internal/affinity/affinity.go
+++ b/internal/affinity/affinity.go
@@ -48,6 +48,8 @@
 	// after failures. The time doubles with each consecutive failure.
 	minPause = 300 * time.Millisecond
 	maxPause = 3 * time.Second
+	// maxAbsent limits the upstreams whose limits are kept while they are absent.
+	maxAbsent = 2000
 )
 
 // Upstream is an upstream that requests can be sent to.
@@ -109,6 +111,9 @@
 	mu      sync.Mutex
 	members []*member
 	byID    map[ident.Upstream]*member
+	// absent holds the limited upstreams that were removed last. Their records may have
+	// expired during an outage, and come back.
+	absent map[ident.Upstream]*member
 }
 
 // member is an upstream and what is known about it.
@@ -127,11 +132,11 @@
 
 // New returns an empty Table for a router in the given failure domain.
 func New(domain ident.FailureDomain) *Table {
-	return &Table{domain: domain, byID: make(map[ident.Upstream]*member)}
+	return &Table{domain: domain, byID: make(map[ident.Upstream]*member), absent: make(map[ident.Upstream]*member)}
 }
 
 // Configure replaces the set of upstreams. The loads and pauses of upstreams whose ID
-// and incarnation stay the same are kept.
+// and incarnation stay the same are kept, and their limits also if they were absent.
 func (t *Table) Configure(upstreams []Upstream) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -139,6 +144,10 @@
 	t.members = t.members[:0]
 	for _, u := range upstreams {
 		m := t.byID[u.ID]
+		if m == nil {
+			m = t.absent[u.ID]
+		}
+		delete(t.absent, u.ID)
 		if m == nil || m.Incarnation != u.Incarnation {
 			m = &member{hash: xxhash.Sum64String(string(u.ID))}
 		}
@@ -146,9 +155,23 @@
 		byID[u.ID] = m
 		t.members = append(t.members, m)
 	}
+	t.keepAbsent(byID)
 	t.byID = byID
 }
 
+// keepAbsent keeps the limited upstreams that are not in next. The caller holds mu.
+func (t *Table) keepAbsent(next map[ident.Upstream]*member) {
+	if len(t.absent) > maxAbsent {
+		clear(t.absent)
+	}
+	for id, m := range t.byID {
+		if next[id] == nil && m.allowance.Statement().Named {
+			m.inFlight, m.consecutiveFailures, m.pausedUntil = 0, 0, time.Time{}
+			t.absent[id] = m
+		}
+	}
+}
+
 // Choose returns the upstream for a request, and false if there is none. Upstreams
 // that are paused after a failure are chosen only if there is no other candidate.
 func (t *Table) Choose(now time.Time, q Query) (Upstream, bool) {
--- a/internal/affinity/limits_test.go
+++ b/internal/affinity/limits_test.go
@@ -64,6 +64,23 @@
 	assert.True(t, ok)
 }
 
+// TestLimitOutlivesTheRecord guards against requests beyond the limit of an upstream whose record has expired during an outage of the key-value service and is back.
+func TestLimitOutlivesTheRecord(t *testing.T) {
+	table := newTable(2)
+	table.HearLimit(now, now, named("u1", 0))
+	table.Configure(testUpstreams(1))
+	table.Configure(testUpstreams(2))
+	for range 5 {
+		table.Begin("u0")
+		assert.EqualValues(t, "u0", choose(t, table, Query{}))
+	}
+	restarted := testUpstreams(2)
+	restarted[1].Incarnation = "2"
+	table.Configure(testUpstreams(1))
+	table.Configure(restarted)
+	assert.EqualValues(t, "u1", choose(t, table, Query{}))
+}
+
 // TestLimitIsToldOnce guards against calls of all routers for each response of a limited
 // upstream.
 func TestLimitIsToldOnce(t *testing.T) {
