quarantine: an answer that began before a crash excuses that crash only

A part that starts to crash upstreams could go on for seconds: routers that had just seen an answer with it had all its crashes cleared, also those that came after. The event of a cleared crash names its upstream. The new test names a function that is new.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -131,7 +131,7 @@
 	pool           *exchange.Pool
 	duties         *duty.Caller
 	quarantine     *keeper.Keeper
-	crashNews      *broadcast.Sender[quarantine.Change, quarantine.Digest]
+	crashNews      *broadcast.Sender[quarantine.Change, quarantine.CrashID]
 	limitNews      *broadcast.Sender[allowance.News, string]
 	roster         *roster.Roster
 	intake         *intake.Intake
@@ -231,13 +231,13 @@
 		Log:               s.Log,
 		Interval:          walletInterval,
 	})
-	r.crashNews = broadcast.New(broadcast.Settings[quarantine.Change, quarantine.Digest]{
+	r.crashNews = broadcast.New(broadcast.Settings[quarantine.Change, quarantine.CrashID]{
 		Path:  crashNewsPath,
 		Peers: r.peerAddresses,
-		Receive: func(now time.Time, changes []quarantine.Change) []quarantine.Digest {
+		Receive: func(now time.Time, changes []quarantine.Change) []quarantine.CrashID {
 			return r.quarantine.Receive(now, changes)
 		},
-		OnReplies: func(now time.Time, answered []quarantine.Digest) { r.quarantine.Clear(now, answered...) },
+		OnReplies: func(now time.Time, excused []quarantine.CrashID) { r.quarantine.Excuse(now, excused) },
 		Timeout:   broadcastTimeout,
 		Clock:     s.Clock,
 		Log:       s.Log,
--- a/internal/event/routing.go
+++ b/internal/event/routing.go
@@ -25,7 +25,7 @@
 	CrashRecorded = define(317, "crash recorded",
 		"An upstream was lost while it ran a request, and the loss counts against the digest of the request's content or of a part of its prompt. Fields: digest, part, upstream, customer, prior (crashes that counted before), answerBegan, ended (whether the upstream is known to have ended).")
 	CrashesCleared = define(318, "crashes cleared",
-		"An answer to a request with a suspect digest began or was completed, or an operator cleared the digest; its crashes no longer count. Fields: digest.")
+		"An answer to a request with a suspect digest began or was completed, or an operator cleared the digest; its crashes no longer count. With an upstream, only the crash of that one does not count, because an answer had just begun at another router. Fields: digest, upstream.")
 	NotBroadcast = define(319, "news not accepted",
 		"Another router did not accept news that was sent to it directly, of crashing requests or of the limits of upstreams. Fields: path, peer, error.")
 	UpstreamEnded = define(320, "upstream lost",
--- a/internal/quarantine/keeper/answers.go
+++ b/internal/quarantine/keeper/answers.go
@@ -7,7 +7,7 @@
 )
 
 // answersPeriod is the period of recentAnswers.
-const answersPeriod = 500 * time.Millisecond
+const answersPeriod = 300 * time.Millisecond
 
 // recentAnswers remembers for one to two periods which parts of prompts upstreams have
 // begun to answer. It holds the answers that this router has seen itself: routers that
--- a/internal/quarantine/keeper/attempt.go
+++ b/internal/quarantine/keeper/attempt.go
@@ -242,8 +242,20 @@
 	k.publishCleared(changes)
 }
 
-// Clear removes digests from the list, at the request of an operator or of another
-// router that has seen an answer.
+// Excuse clears crashes under parts, at the request of another router where an upstream had
+// just begun to answer a request with them.
+func (k *Keeper) Excuse(now time.Time, crashes []quarantine.CrashID) {
+	k.mu.Lock()
+	var changes []quarantine.Change
+	for _, id := range crashes {
+		changes = append(changes, id.Excuse(now))
+	}
+	changes = k.change(now, changes)
+	k.mu.Unlock()
+	k.publishCleared(changes)
+}
+
+// Clear removes digests from the list, at the request of an operator.
 func (k *Keeper) Clear(now time.Time, digests ...quarantine.Digest) {
 	k.mu.Lock()
 	changes := k.clear(now, digests)
@@ -266,7 +278,7 @@
 // publishCleared logs and publishes the removal of digests.
 func (k *Keeper) publishCleared(changes []quarantine.Change) {
 	for _, c := range changes {
-		event.CrashesCleared.Info(k.settings.Log, "digest", c.Digest)
+		event.CrashesCleared.Info(k.settings.Log, "digest", c.Digest, "upstream", c.Upstream)
 	}
 	k.publish(changes)
 }
@@ -276,7 +288,7 @@
 func (k *Keeper) revokeQuarantined(now time.Time, changed []quarantine.Change) {
 	for a := range k.attempts {
 		if a.began || !slices.ContainsFunc(changed, func(c quarantine.Change) bool {
-			return c.Upstream != "" && slices.Contains(a.digests, c.Digest) &&
+			return c.Upstream != "" && !c.Excused && slices.Contains(a.digests, c.Digest) &&
 				k.list.IsQuarantined(now, c.Digest, a.subject.Customer, a.limit)
 		}) {
 			continue
--- a/internal/quarantine/keeper/drive_test.go
+++ b/internal/quarantine/keeper/drive_test.go
@@ -132,8 +132,8 @@
 			continue
 		}
 		d.after(time.Duration(d.rng.Int64N(int64(d.peerDelay))), func() {
-			if answered := k.Receive(d.now, changes); len(answered) > 0 {
-				d.after(time.Duration(d.rng.Int64N(int64(d.peerDelay))), func() { d.routerSet[p.self].Clear(d.now, answered...) })
+			if excused := k.Receive(d.now, changes); len(excused) > 0 {
+				d.after(time.Duration(d.rng.Int64N(int64(d.peerDelay))), func() { d.routerSet[p.self].Excuse(d.now, excused) })
 			}
 		})
 	}
--- a/internal/quarantine/keeper/keeper.go
+++ b/internal/quarantine/keeper/keeper.go
@@ -217,9 +217,9 @@
 }
 
 // Receive applies changes that another router has made and writes. It ignores the crashes
-// of parts that upstreams have begun to answer at this router within the last second, and
-// returns these parts.
-func (k *Keeper) Receive(now time.Time, changes []quarantine.Change) (answered []quarantine.Digest) {
+// under parts that upstreams have just begun to answer at this router, and returns these
+// crashes.
+func (k *Keeper) Receive(now time.Time, changes []quarantine.Change) (excused []quarantine.CrashID) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.answers.advance(now)
@@ -228,13 +228,13 @@
 			k.holdTrial(now, c.Digest)
 			continue
 		}
-		if c.Upstream != "" && k.answers.has(c.Digest) {
-			answered = append(answered, c.Digest)
+		if c.Upstream != "" && !c.Excused && k.answers.has(c.Digest) {
+			excused = append(excused, c.CrashID())
 			continue
 		}
 		k.addUnseen(k.apply(now, []quarantine.Change{c}))
 	}
-	return answered
+	return excused
 }
 
 // Write adds changes from another router and returns once they are in the
--- a/internal/quarantine/keeper/keeper_test.go
+++ b/internal/quarantine/keeper/keeper_test.go
@@ -207,3 +207,30 @@
 	assert.False(t, ownRevoked)
 	assert.True(t, waitingRevoked)
 }
+
+// TestAnswerExcusesEarlierCrashOnly guards against the exoneration of a part that starts to crash upstreams: an answer that began before its first crash says nothing of the next ones.
+func TestAnswerExcusesEarlierCrashOnly(t *testing.T) {
+	service := keyvalue.New(keyvalue.Settings{})
+	reporter, other := newKeeper(t, service.Client()), newKeeper(t, service.Client())
+	s := quarantine.NewSubject("c", "llm", []byte("body"), []string{"part", "own"})
+	before := other.Begin(now, s, 3)
+	before.RecordAnswer(now)
+	before.End()
+	crash := func(k *Keeper, at time.Time, u ident.Upstream) quarantine.Change {
+		a := k.Begin(at, s, 3)
+		defer a.End()
+		a.RecordLoss(at, Loss{Upstream: u, Ended: true, AnswerBegan: true})
+		return quarantine.Change{At: at, Digest: s.Parts[0], Part: true, Upstream: u, Customer: s.Customer}
+	}
+	first := crash(reporter, now.Add(answersPeriod/2), "u1")
+	excused := other.Receive(now.Add(answersPeriod/2), []quarantine.Change{first})
+	assert.Equal(t, []quarantine.CrashID{first.CrashID()}, excused)
+	second := crash(reporter, now.Add(3*answersPeriod), "u2")
+	reporter.Excuse(now.Add(3*answersPeriod), excused)
+	assert.Empty(t, other.Receive(now.Add(3*answersPeriod), []quarantine.Change{second}), "the answer began too long before")
+	for _, k := range []*Keeper{reporter, other} {
+		crashes := k.Records().Records[s.Parts[0]].Crashes
+		require.Len(t, crashes, 1)
+		assert.EqualValues(t, "u2", crashes[0].Upstream)
+	}
+}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -19,7 +19,7 @@
 //     one refused. To other customers it is on trial.
 //
 // An answer clears the crashes: for a part when it begins, for a content when it is
-// complete. A refusal ends after a time that doubles with each further crash; then the
+// complete. An answer that began shortly before a crash excuses a part for that crash. A refusal ends after a time that doubles with each further crash; then the
 // digest is on trial, as is one whose crashes are one short of the limit. Requests with a
 // digest on trial run one at a time.
 //
@@ -37,6 +37,7 @@
 import (
 	"encoding/json"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -94,7 +95,7 @@
 }
 
 // Change is one change of a List: it records a crash of Upstream at At for the
-// digest. If Upstream is empty, it clears the digest.
+// digest. If Upstream is empty, it clears the digest, and if Excused is set, that crash only.
 type Change struct {
 	At       time.Time      `json:"at,omitzero"`
 	Digest   Digest         `json:"digest"`
@@ -103,7 +104,8 @@
 	Customer ident.Customer `json:"customer,omitempty"`
 	// Prior is the number of crashes that counted against the digest, as known to the
 	// router that sent the request when it did so.
-	Prior int `json:"prior,omitempty"`
+	Prior   int  `json:"prior,omitempty"`
+	Excused bool `json:"excused,omitempty"`
 	// Trial reports that no crash is recorded or cleared, but a request with the digest,
 	// which is on trial, has started to run. A List ignores such a change.
 	Trial bool `json:"trial,omitempty"`
@@ -151,6 +153,8 @@
 		case c.Trial:
 		case c.Upstream == "":
 			changed = l.clear(c.Digest) || changed
+		case c.Excused:
+			changed = l.excuse(c.CrashID()) || changed
 		default:
 			changed = l.recordCrash(c) || changed
 		}
@@ -167,7 +171,47 @@
 		_, ok := l.Records[c.Digest]
 		return !ok
 	}
-	return slices.ContainsFunc(l.Records[c.Digest].Crashes, func(o Crash) bool { return o.Upstream == c.Upstream })
+	return l.hasCrash(c.CrashID()) != c.Excused
+}
+
+// CrashID identifies a crash of an upstream under a digest.
+type CrashID string
+
+// CrashID returns the identifier of the crash that the change is about.
+func (c Change) CrashID() CrashID { return CrashID(string(c.Digest) + " " + string(c.Upstream)) }
+
+// Excuse returns the change that clears the crash.
+func (id CrashID) Excuse(now time.Time) Change {
+	digest, upstream, _ := strings.Cut(string(id), " ")
+	return Change{At: now, Digest: Digest(digest), Upstream: ident.Upstream(upstream), Excused: true}
+}
+
+// split returns the digest and a function that reports whether a crash is the identified one.
+func (id CrashID) split() (d Digest, isCrash func(Crash) bool) {
+	c := id.Excuse(time.Time{})
+	return c.Digest, func(o Crash) bool { return o.Upstream == c.Upstream }
+}
+
+// hasCrash reports whether the list has the crash.
+func (l *List) hasCrash(id CrashID) bool {
+	d, isCrash := id.split()
+	return slices.ContainsFunc(l.Records[d].Crashes, isCrash)
+}
+
+// excuse removes a crash. It reports whether the list changed.
+func (l *List) excuse(id CrashID) (changed bool) {
+	d, isCrash := id.split()
+	r := l.Records[d]
+	kept := slices.DeleteFunc(slices.Clone(r.Crashes), isCrash)
+	switch {
+	case len(kept) == len(r.Crashes):
+		return false
+	case len(kept) == 0:
+		return l.clear(d)
+	}
+	r.Crashes = kept
+	l.Records[d] = r
+	return true
 }
 
 // recordCrash adds a crash to the record of a digest. If the record has one of the same
