--- a/internal/affinity/limits.go
+++ b/internal/affinity/limits.go
@@ -5,25 +5,25 @@
 	"time"
 
 	"example.org/lagoonfork/internal/allowance"
-	"example.org/lagoonfork/pkg/ident"
 )
 
 // HearLimit records what an upstream said about its limit in the response to a request that
-// was sent at the given time. It reports whether the other routers should be told at once.
-func (t *Table) HearLimit(now, sent time.Time, n allowance.News) (tell bool) {
+// was sent at the given time. It returns what is known of the limit now, and whether the other
+// routers should be told at once.
+func (t *Table) HearLimit(now, sent time.Time, n allowance.News) (s allowance.Statement, tell bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	m := t.byID[n.Upstream]
 	if m == nil || m.Incarnation != n.Incarnation {
-		return false
+		return s, false
 	}
 	m.allowance.Hear(now, sent, n.Statement)
-	s := m.allowance.Statement()
+	s = m.allowance.Statement()
 	if !s.Differs(m.published) {
-		return false
+		return s, false
 	}
 	m.published = s
-	return true
+	return s, true
 }
 
 // LearnLimit records what another router has heard about the limit of an upstream.
@@ -64,13 +64,3 @@
 	}
 	return wait, limited
 }
-
-// LimitOf returns what an upstream says about its limit.
-func (t *Table) LimitOf(id ident.Upstream) (s allowance.Statement) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if m := t.byID[id]; m != nil {
-		s = m.allowance.Statement()
-	}
-	return s
-}
--- a/internal/affinity/limits_test.go
+++ b/internal/affinity/limits_test.go
@@ -19,7 +19,8 @@
 	table := newTable(3)
 	q := Query{Key: 7, RouterCount: 1}
 	first := choose(t, table, q)
-	assert.True(t, table.HearLimit(now, now, named(first, 2)))
+	_, tell := table.HearLimit(now, now, named(first, 2))
+	assert.True(t, tell)
 	second := choose(t, table, q)
 	assert.NotEqual(t, first, second)
 	assert.NotEqual(t, first, choose(t, table, Query{}))
@@ -58,7 +59,8 @@
 	restarted := testUpstreams(1)
 	restarted[0].Incarnation = "2"
 	table.Configure(restarted)
-	assert.False(t, table.HearLimit(now, now, named("u0", 0)), "the response is from the earlier process")
+	_, tell := table.HearLimit(now, now, named("u0", 0))
+	assert.False(t, tell, "the response is from the earlier process")
 	table.LearnLimit(now, named("u0", 0))
 	_, ok = table.Choose(now, Query{})
 	assert.True(t, ok)
@@ -88,7 +90,8 @@
 	at := now
 	hear := func(n allowance.News) bool {
 		at = at.Add(time.Second)
-		return table.HearLimit(at, at, n)
+		_, tell := table.HearLimit(at, at, n)
+		return tell
 	}
 	assert.True(t, hear(named("u0", 10)))
 	assert.False(t, hear(named("u0", 10)))
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -100,8 +100,8 @@
 	if info.Limit.State == LimitNamed {
 		news.Statement = allowance.Statement{Named: true, PerSecond: min(info.Limit.PerSecond, maxLimit)}
 	}
-	if table.HearLimit(t.now(), sent, news) {
-		news.Statement = table.LimitOf(u.ID)
+	if told, tell := table.HearLimit(t.now(), sent, news); tell {
+		news.Statement = told
 		event.LimitChanged.Info(t.f.settings.Log, "upstream", u.ID, "named", news.Statement.Named, "perSecond", news.Statement.PerSecond)
 		t.f.settings.OnLimit(news)
 	}
--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -240,8 +240,9 @@
 			return nil
 		}
 		if e.HasID {
-			t.attemptEvents++
-			t.admission.RecordAnswer(t.now())
+			if t.attemptEvents++; t.attemptEvents == 1 {
+				t.admission.RecordAnswer(t.now())
+			}
 			if e.ID <= t.lastEventID {
 				continue
 			}
@@ -316,9 +317,9 @@
 }
 
 // finishRefused ends a request that is not sent to another upstream. If no attempt may have
-// run it, the caller learns when to send it again.
+// run it and it has not expired, the caller learns when to send it again.
 func (t *transfer) finishRefused(r refusal) {
-	if t.runs > 0 || t.headerWritten || t.serverError != nil {
+	if t.runs > 0 || t.headerWritten || t.serverError != nil || t.ctx.Err() != nil {
 		t.finishFailed(r.reason)
 		return
 	}
--- a/internal/router/compose.go
+++ b/internal/router/compose.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"example.org/lagoonfork/internal/callerapi"
@@ -129,7 +130,13 @@
 	r.plain = plainclient.New(plainclient.Settings{IdleTimeout: r.silenceLimit, Log: s.Log})
 	r.directory = directory.New(routing.Location{FailureDomain: s.FailureDomain, Region: s.Region}, r.liveRouters)
 	r.applyConfiguration()
-	r.quarantine = keeper.New(keeper.Settings{Store: s.Store, Clock: s.Clock, Log: s.Log, Interval: s.Timing.Quarantine})
+	r.quarantine = keeper.New(keeper.Settings{
+		Store:      s.Store,
+		TrialDelay: rand.N(quarantineTrialSpread),
+		Clock:      s.Clock,
+		Log:        s.Log,
+		Interval:   s.Timing.Quarantine,
+	})
 	r.dispatcher = dispatch.New(dispatch.Settings{
 		Holder:       r.incarnation,
 		Wallet:       r.wallet,
--- a/internal/router/defaults.go
+++ b/internal/router/defaults.go
@@ -16,7 +16,10 @@
 	defaultReclaim    = 30 * time.Second
 	defaultMaintain   = time.Second
 	defaultQuarantine = 2 * time.Second
-	defaultOrders     = 5 * time.Second
+	// quarantineTrialSpread is the time over which the routers try a request again after
+	// the term of its quarantine.
+	quarantineTrialSpread = time.Minute
+	defaultOrders         = 5 * time.Second
 
 	defaultReclaimGrace = time.Minute
 
