affinity: a limited upstream that may get a request is not left alone

Where routers have few requests each, none of those of a holder may have the prefix for which a limited upstream is the one of the affinity: the upstream got fewer requests than it accepts, and nobody learned that it named no limit any more. At 390 routers and 1,100 upstreams a holder has a request for one upstream in minutes. A permission that is unused for a second now goes to the next request. The new test failed before.

--- a/internal/affinity/affinity.go
+++ b/internal/affinity/affinity.go
@@ -7,7 +7,8 @@
 // exceed a multiple of the mean is chosen, so that a popular prefix spreads over
 // several upstreams. Requests without a shared prefix go to the least loaded
 // upstream. An upstream that failed is not chosen for a short time, and one that names a
-// limit only when this router may send it a request. See package allowance.
+// limit only when this router may send it a request; then it is also chosen for a request
+// with another prefix, if none with its own has come for some time. See package allowance.
 //
 // The package does no I/O and does not read the clock.
 //
@@ -180,7 +181,10 @@
 	for _, includePaused := range []bool{false, true} {
 		s := selection{now: now, query: &q, includePaused: includePaused, domain: t.domain}
 		m := s.leastLoaded(t.members)
-		if m != nil && q.Key != 0 {
+		switch {
+		case s.overdue != nil:
+			m = s.overdue
+		case m != nil && q.Key != 0:
 			m = s.highestScored(t.members, m)
 		}
 		if m != nil {
@@ -200,6 +204,7 @@
 
 	totalLoad  float64 // of all candidates
 	candidates int
+	overdue    *member // candidate that should get the next request, or nil
 }
 
 func (s *selection) isCandidate(m *member) bool {
@@ -209,7 +214,7 @@
 
 // leastLoaded returns the candidate with the least load per slot, with a slight
 // preference for the router's failure domain. It also adds up the loads of the
-// candidates and counts them.
+// candidates, counts them and finds an overdue one.
 func (s *selection) leastLoaded(members []*member) (best *member) {
 	var least float64
 	for _, m := range members {
@@ -219,6 +224,9 @@
 		load := m.load(s.now, s.query.RouterCount)
 		s.totalLoad += load
 		s.candidates++
+		if m.allowance.Overdue(s.now) {
+			s.overdue = m
+		}
 		load /= float64(max(m.Slots, 1))
 		if m.FailureDomain != s.domain {
 			load += domainPenalty
--- a/internal/affinity/limits_test.go
+++ b/internal/affinity/limits_test.go
@@ -49,6 +49,28 @@
 	assert.False(t, ok, "one request for each half of a second")
 }
 
+// TestLimitedUpstreamIsNotLeftAlone guards against an upstream that gets no request, and whose limit is never lifted, because the routers that hold it have none for which it is the one of the affinity.
+func TestLimitedUpstreamIsNotLeftAlone(t *testing.T) {
+	table := newTable(3)
+	q := Query{Key: 7, RouterCount: 1}
+	first := choose(t, table, q)
+	limited := testUpstreams(3)[0].ID
+	if limited == first {
+		limited = testUpstreams(3)[1].ID
+	}
+	table.HearLimit(now, now, named(limited, 1))
+	sent := 0
+	for i := range 200 {
+		u, ok := table.Choose(now.Add(time.Duration(i)*50*time.Millisecond), q)
+		assert.True(t, ok)
+		if u.ID == limited {
+			sent++
+		}
+	}
+	assert.GreaterOrEqual(t, sent, 4, "of 10 that it accepts in this time")
+	assert.LessOrEqual(t, sent, 10)
+}
+
 // TestLimitEndsWithTheIncarnation guards against a limit that outlives the process that named
 // it, and against news of an earlier process.
 func TestLimitEndsWithTheIncarnation(t *testing.T) {
--- a/internal/allowance/allowance.go
+++ b/internal/allowance/allowance.go
@@ -48,6 +48,9 @@
 	// inquiryFraction bounds the requests that all routers send to find out, as a fraction
 	// of the limit.
 	inquiryFraction = 0.25
+	// maxIdle is how long a holder leaves a permission to the requests for which the upstream
+	// is the one of the affinity.
+	maxIdle = time.Second
 	// minDifference is the relative difference of two limits from which on a router tells
 	// the others at once.
 	minDifference = 0.1
@@ -85,6 +88,7 @@
 
 	tokens     float64 // requests that may be sent now
 	refilledAt time.Time
+	readySince time.Time // when tokens reached 1, or zero
 
 	// The following fields hold this router's rank in a turn, for a fleet and a limit.
 	turn       int64
@@ -140,6 +144,14 @@
 	return a.tokens >= 1 || !a.wasHolding && a.mayInquire(now, upstream, f)
 }
 
+// Overdue reports whether this router holds a permission that no request has used for some
+// time, so that the upstream should get the next request whatever else speaks for another
+// one: it can serve more, and nobody knows whether it still names its limit. It is valid after
+// a call of Permits for the same time.
+func (a *Allowance) Overdue(now time.Time) bool {
+	return a.statement.Named && !a.readySince.IsZero() && now.Sub(a.readySince) >= maxIdle
+}
+
 // mayInquire reports whether it is time for a router that does not hold the limit to find
 // out whether it is still named.
 func (a *Allowance) mayInquire(now time.Time, upstream ident.Upstream, f *Fleet) bool {
@@ -154,6 +166,7 @@
 	case !a.statement.Named:
 	case a.wasHolding:
 		a.tokens = max(a.tokens-1, 0)
+		a.readySince = time.Time{}
 	default:
 		a.newsAt = now // do not inquire again before there could be news
 	}
@@ -210,6 +223,12 @@
 		a.tokens = min(a.tokens+elapsed*a.part(), max(1, a.part()*burstPeriod.Seconds()))
 	}
 	a.wasHolding, a.refilledAt = holding, now
+	switch {
+	case a.tokens < 1:
+		a.readySince = time.Time{}
+	case a.readySince.IsZero():
+		a.readySince = now
+	}
 }
 
 // holderCount returns the number of routers that share a limit at a time.
