edge: reminders of limits come less often in a large fleet

With 300 limited upstreams at 390 routers each router would have received 60 calls a second (from the code, not measured); now 8. The limits of smaller fleets are reminded of as before.

--- a/internal/edge/defaults.go
+++ b/internal/edge/defaults.go
@@ -68,8 +68,10 @@
 	// quarantineTrialSpread is the time over which the routers try a request again after
 	// the term of its quarantine.
 	quarantineTrialSpread = time.Minute
-	// limitReminderInterval is the time between two reminders of the limits of upstreams.
-	limitReminderInterval = 5 * time.Second
+	// minReminderInterval and reminderIntervalPerRouter give the time between two reminders
+	// of the limits of upstreams.
+	minReminderInterval       = 5 * time.Second
+	reminderIntervalPerRouter = 100 * time.Millisecond
 	// broadcastTimeout bounds the call that sends news to another router.
 	broadcastTimeout = 400 * time.Millisecond
 	// dutyTimeout bounds a call to a router that writes on behalf of all routers.
--- a/internal/edge/limits.go
+++ b/internal/edge/limits.go
@@ -15,14 +15,18 @@
 	return nil
 }
 
+// reminderInterval returns the time between two reminders of the limits of upstreams. It
+// grows with the number of routers, so that the calls that each of them receives do not.
+func reminderInterval(routers int) time.Duration {
+	return max(minReminderInterval, time.Duration(routers)*reminderIntervalPerRouter)
+}
+
 // remindOfLimits tells the other routers of the limits that this router is the first to
 // hold, so that routers that have started or missed news know them.
 func (r *Router) remindOfLimits() error {
-	ticker := time.NewTicker(limitReminderInterval)
-	defer ticker.Stop()
 	for {
 		select {
-		case <-ticker.C:
+		case <-time.After(reminderInterval(r.RouterCount())):
 			if news := r.roster.Reminders(r.settings.Clock(), r.members.fleet()); len(news) > 0 {
 				r.limitNews.Send(news)
 			}
--- a/internal/edge/policy_test.go
+++ b/internal/edge/policy_test.go
@@ -34,6 +34,16 @@
 // since a power loss of all of them would lose it. What they hold consists of the
 // policy's fraction, the excess from uneven shares, and tokens that are handed back
 // only once a share is well above its target.
+// TestRemindersOfLimitsDoNotGrowWithTheFleet guards against calls between all routers of a large fleet for each limited upstream every few seconds.
+func TestRemindersOfLimitsDoNotGrowWithTheFleet(t *testing.T) {
+	const limitedUpstreams = 300
+	for _, routers := range []int{0, 9, 78, 390} {
+		received := limitedUpstreams / reminderInterval(routers).Seconds()
+		assert.LessOrEqual(t, received, 60.0, "calls a second at each of %d routers", routers)
+	}
+	assert.LessOrEqual(t, limitedUpstreams/reminderInterval(390).Seconds(), 10.0)
+}
+
 func TestLossOfPowerLeavesHalf(t *testing.T) {
 	for seed := range uint64(20) {
 		synctest.Test(t, func(t *testing.T) { simulatePowerLoss(t, seed) })
