--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -38,6 +38,7 @@
 		os.Exit(statusCannotRun)
 	}
 	cases := map[string]func(*system) (broken bool, err error){
+		"silent-store":   silentStore,
 		"worker-release": workerRelease,
 	}
 	run, ok := cases[os.Args[1]]
