--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -38,6 +38,7 @@
 		os.Exit(statusCannotRun)
 	}
 	cases := map[string]func(*system) (broken bool, err error){
+		"lost-relay":     lostRelay,
 		"silent-store":   silentStore,
 		"worker-release": workerRelease,
 	}
@@ -64,7 +65,7 @@
 	}
 	defer os.RemoveAll(dir)
 	s := &system{dir: dir, record: file, start: time.Now(), trouble: os.Getenv("TROUBLE") != "0",
-		service: keyvalue.New(keyvalue.Settings{Clock: time.Now})}
+		service: keyvalue.New(keyvalue.Settings{Clock: time.Now}), runs: make(map[string][]workerRun)}
 	defer s.stop()
 	broken, err := run(s)
 	switch {
@@ -91,6 +92,7 @@
 	storeAddress string
 	routers      []*router
 	servers      []*http.Server
+	workers      int // started so far
 
 	mu     sync.Mutex
 	record io.Writer
@@ -300,31 +302,46 @@
 
 // worker is a stand-in for a worker of a service that is no engine.
 type worker struct {
-	system *system
-	id     string
-	work   time.Duration
+	system               *system
+	id, service, address string
+	zone                 string
+	work                 time.Duration
+	born                 time.Time
+	server               *http.Server
 }
 
 // startWorkers starts workers of a service and registers them.
 func (s *system) startWorkers(service string, n int, work time.Duration) error {
-	if s.runs == nil {
-		s.runs = make(map[string][]workerRun)
-	}
-	for i := range n {
-		w := &worker{system: s, id: fmt.Sprintf("i-%s-%d", service, i), work: work}
-		address, err := s.serve(w)
-		if err != nil {
-			return err
-		}
-		err = s.put("servers/"+w.id, object{"service": service, "addr": address, "zone": machineZones[(4*i)%len(machineZones)], "version": "v1",
-			"slots": 6, "state": "ready", "coldLeftMs": 0, "seq": 1, "born": time.Now().UnixMilli()})
-		if err != nil {
+	for range n {
+		if _, err := s.startWorker(service, work); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// startWorker starts a worker of a service and registers it.
+func (s *system) startWorker(service string, work time.Duration) (*worker, error) {
+	w := &worker{system: s, id: fmt.Sprintf("i-%s-%d", service, s.workers), service: service, work: work, born: time.Now(),
+		zone: machineZones[(4*s.workers)%len(machineZones)]}
+	s.workers++
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	w.address = l.Addr().String()
+	w.server = &http.Server{Handler: w}
+	s.servers = append(s.servers, w.server)
+	go w.server.Serve(l)
+	return w, s.put("servers/"+w.id, w.entry("ready", 1))
+}
+
+// entry returns the worker's entry in the store.
+func (w *worker) entry(state string, seq int) object {
+	return object{"service": w.service, "addr": w.address, "zone": w.zone, "version": "v1",
+		"slots": 6, "state": state, "coldLeftMs": 0, "seq": seq, "born": w.born.UnixMilli()}
+}
+
 func (w *worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("X-Attempt-Id")
 	rw.Header().Set("X-Attempt-Id", id)
