--- a/review/driver/proxy.go
+++ b/review/driver/proxy.go
@@ -21,7 +21,6 @@
 	client, target net.Conn
 	mu             sync.Mutex
 	silent         bool
-	released       chan struct{}
 }
 
 func newProxy(target string) (*proxy, error) {
--- a/review/driver/silentstore.go
+++ b/review/driver/silentstore.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -21,10 +22,12 @@
 	warmUp = 3 * time.Second
 	// trafficBefore is how long traffic runs before the connections go silent.
 	trafficBefore = 2 * time.Second
+	// rounds is the number of times that the connections go silent, and round the time
+	// between two of them.
+	rounds = 11
+	round  = 8500 * time.Millisecond
 	// changeDelay is the time from there to the change of the configuration.
 	changeDelay = 500 * time.Millisecond
-	// observed is how long requests with the dropped key are sent after the change.
-	observed = 10 * time.Second
 )
 
 // registerConfiguration returns a configuration in which the tenant parish has the keys.
@@ -47,12 +50,17 @@
 }
 
 // silentStore: the open connections of all machines to the store go silent for good, while
-// new ones work. Half a second later the operator takes a key away.
+// new ones work. Half a second later the operator takes a key away. That comes several
+// times, each time with another key.
 func silentStore(s *system) (broken bool, err error) {
 	if err := s.startStore(); err != nil {
 		return false, err
 	}
-	if err := s.put("op/config", registerConfiguration(3, "kept-key", "dropped-key")); err != nil {
+	var keys []string
+	for n := range rounds + 1 {
+		keys = append(keys, fmt.Sprintf("key-%d", n))
+	}
+	if err := s.put("op/config", registerConfiguration(3, keys...)); err != nil {
 		return false, err
 	}
 	if err := s.startWorkers("register", 3, 10*time.Millisecond); err != nil {
@@ -70,6 +78,7 @@
 
 	var (
 		clients sync.WaitGroup
+		dropped atomic.Int32 // the key that clients send
 		mu      sync.Mutex
 		all     []attempt
 	)
@@ -83,7 +92,7 @@
 		go func() {
 			defer clients.Done()
 			for ctx.Err() == nil {
-				a := c.send(http.MethodPost, "/permit/x", "dropped-key")
+				a := c.send(http.MethodPost, "/permit/x", keys[dropped.Load()])
 				mu.Lock()
 				all = append(all, a)
 				mu.Unlock()
@@ -92,47 +101,51 @@
 		}()
 	}
 	time.Sleep(trafficBefore)
-	silenced := time.Now()
-	if s.trouble {
-		for _, r := range s.routers {
-			s.logf("%d open connections of %s to the store go silent", r.store.silence(), r.name)
+	type bound struct{ acknowledged, late, end time.Time }
+	bounds := make(map[string]bound)
+	for n := range rounds {
+		silenced := time.Now()
+		dropped.Store(int32(n))
+		if s.trouble {
+			for _, r := range s.routers {
+				s.logf("%d open connections of %s to the store go silent", r.store.silence(), r.name)
+			}
 		}
+		time.Sleep(changeDelay)
+		if err := s.put("op/config", registerConfiguration(9+2*n, keys[n+1:]...)); err != nil {
+			return false, err
+		}
+		b := bound{acknowledged: time.Now(), end: silenced.Add(round)}
+		if b.late = b.acknowledged.Add(configApply); s.trouble && silenced.Add(contact).After(b.late) {
+			b.late = silenced.Add(contact)
+		}
+		bounds[keys[n]] = b
+		s.logf("the store acknowledges version %d, which drops %s; requests with it that are sent later than %.3f must not run", 9+2*n, keys[n], s.since(b.late))
+		time.Sleep(time.Until(b.end))
 	}
-	time.Sleep(changeDelay)
-	if err := s.put("op/config", registerConfiguration(9, "kept-key")); err != nil {
-		return false, err
-	}
-	acknowledged := time.Now()
-	s.logf("the store acknowledges version 9, which drops the key")
-	time.Sleep(observed)
 	stop()
 	clients.Wait()
 
-	bound := acknowledged.Add(configApply)
-	if end := silenced.Add(contact); s.trouble && end.After(bound) {
-		bound = end
-	}
-	s.logf("requests with the dropped key that are sent later than %.3f must not run", s.since(bound))
 	late := make(map[string]int)
-	last := make(map[string]time.Time)
+	last := make(map[string]float64) // seconds after the acknowledgement
 	sortBySent(all)
 	for _, a := range all {
 		runs := s.runsOf(a.id)
-		s.logf("request %s with the dropped key sent at %.3f to %s: status %d, ran %d times, error %v", a.id, s.since(a.sent), a.router, a.status, len(runs), a.err)
-		if len(runs) == 0 {
+		s.logf("request %s with %s sent at %.3f to %s: status %d, ran %d times, error %v", a.id, a.key, s.since(a.sent), a.router, a.status, len(runs), a.err)
+		b, ok := bounds[a.key]
+		if !ok || len(runs) == 0 {
 			continue
 		}
-		last[a.router] = a.sent
-		if a.sent.After(bound) {
-			late[a.router]++
+		last[a.key] = a.sent.Sub(b.acknowledged).Seconds()
+		if a.sent.After(b.late) && a.sent.Before(b.end) {
+			late[a.key]++
 		}
 	}
-	for _, r := range s.routers {
-		line := fmt.Sprintf("%s: the last request with the dropped key that ran was sent %.3f s after the acknowledgement; %d ran that were sent after the bound",
-			r.name, last[r.name].Sub(acknowledged).Seconds(), late[r.name])
+	for _, key := range keys[:rounds] {
+		line := fmt.Sprintf("%s: the last request with it that ran was sent %.3f s after the acknowledgement; %d ran that were sent after the bound", key, last[key], late[key])
 		s.logf("%s", line)
 		fmt.Println(line)
-		broken = broken || late[r.name] > 0
+		broken = broken || late[key] > 0
 	}
 	return broken, nil
 }
