guard: requests that get no response are logged, and what net/http reports

Cause: nothing told the ways apart in which a connection can end without a response. http.Server.ErrorLog was discarded at the edge, so that a panic in a handler left no trace, and neither did a connection closed while its request was in progress. Change: event 150 for each request of which the head has arrived and no byte of a response was written, unless the caller closed the connection first; it tells whether the connection was given up for others. Event 151 has what net/http reports.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -172,14 +172,14 @@
 	r.registerMetrics()
 	r.tomb.Go(r.watchMirrors)
 	for _, e := range []endpointSettings{
-		{address: s.CallerAddress, handler: r.intake, meter: r.congestion, limits: r.limits["callers"]},
-		{address: s.ReadyAddress, handler: r.readyHandler(), limits: r.limits["ready"]},
-		{address: s.PeerAddress, handler: r.peerHandler(), limits: r.limits["peers"]},
+		{name: "callers", address: s.CallerAddress, handler: r.intake, meter: r.congestion, limits: r.limits["callers"]},
+		{name: "ready", address: s.ReadyAddress, handler: r.readyHandler(), limits: r.limits["ready"]},
+		{name: "peers", address: s.PeerAddress, handler: r.peerHandler(), limits: r.limits["peers"]},
 	} {
 		if !e.address.IsValid() {
 			continue
 		}
-		e.clock = s.Clock
+		e.clock, e.log = s.Clock, s.Log
 		listening, err := listen(e)
 		if err != nil {
 			return nil, errors.Join(err, r.Close(context.Background()))
--- a/internal/edge/endpoint.go
+++ b/internal/edge/endpoint.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
-	stdlog "log"
 	"net"
 	"net/http"
 	"net/netip"
@@ -12,6 +10,7 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+	"github.com/hashicorp/go-hclog"
 	"goji.io"
 	"goji.io/pat"
 
@@ -40,11 +39,13 @@
 
 // endpointSettings configures an endpoint. Meter may be nil.
 type endpointSettings struct {
+	name    string // in the log
 	address netip.AddrPort
 	handler http.Handler
 	meter   *congestion.Meter // measures the bytes that callers send
 	limits  *callerlimit.Registry
 	clock   func() time.Time
+	log     hclog.Logger
 }
 
 // listen serves HTTP until close is called.
@@ -57,7 +58,7 @@
 	if s.meter != nil {
 		l = s.meter.Listener(l)
 	}
-	g := guard.New(guard.Settings{Registry: s.limits, Clock: s.clock})
+	g := guard.New(guard.Settings{Registry: s.limits, Clock: s.clock, OnUnanswered: guard.LogUnanswered(s.log, s.name)})
 	l = g.Listener(l)
 	ctx, cut := context.WithCancelCause(context.Background())
 	e = &endpoint{
@@ -71,7 +72,7 @@
 			ReadHeaderTimeout: readHeaderTimeout,
 			IdleTimeout:       serverIdleTimeout,
 			MaxHeaderBytes:    maxHeaderBytes,
-			ErrorLog:          stdlog.New(io.Discard, "", 0),
+			ErrorLog:          guard.ErrorLog(s.log, s.name),
 		},
 		done: make(chan error, 1),
 	}
--- a/internal/event/forward.go
+++ b/internal/event/forward.go
@@ -42,6 +42,10 @@
 		"Connections or requests were refused or closed because the memory or the descriptors of the VM were used up, logged every 10 s while that goes on. Counted since the start. Fields: endpoint (callers, peers or ready), connectionsRefused, waitingClosed (connections without a request), headsClosed, uploadsClosed (slow bodies), memoryRefused (requests), connections and memory (of requests, in bytes) now.")
 	LinkSaturated = define(149, "link saturated",
 		"Requests take so much of the network link of the VM that the router is not ready and closes connections after their responses, so that callers use other routers (full), or no longer so (not full). Fields: full, utilization (part of the link that callers and upstreams send), inFlight.")
+	RequestUnanswered = define(150, "request unanswered",
+		"A connection ended after the head of a request had arrived, with no byte of a response, although the caller had not closed it. If the log has no line that says why the request was ended, this is a fault of the router. Fields: endpoint (callers, peers or ready), caller (address), since (time since the head arrived), givenUp (closed to make room for other connections).")
+	EndpointError = define(151, "endpoint error",
+		"The HTTP server of an endpoint reported an error, for example a panic that ended a request without a response. Fields: endpoint, message.")
 	SettingsReloaded = define(144, "settings read again",
 		"The settings file was read again after a signal. Fields: error.")
 )
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -29,6 +29,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -57,13 +58,24 @@
 	return int64(headSize)*byteFactor + int64(headSize)/4*lineBytes + chunkedBytes + pieceBytes
 }
 
-// Settings configures a Guard. All fields but Refusal are required.
+// Settings configures a Guard. Registry and Clock are required.
 type Settings struct {
 	Registry *callerlimit.Registry
 	// Refusal is the body, in JSON, of the refusal of a request whose head has no memory. It is
 	// that of Refuse by default.
 	Refusal []byte
-	Clock   func() time.Time
+	// OnUnanswered is called when a connection has ended after the head of a request arrived, with
+	// no byte of a response written and although the caller had not closed it. It is optional.
+	OnUnanswered func(Unanswered)
+	Clock        func() time.Time
+}
+
+// Unanswered describes a request that got no response.
+type Unanswered struct {
+	Caller net.Addr
+	Since  time.Duration // since the head arrived
+	// GivenUp reports that the connection was closed to make room for others.
+	GivenUp bool
 }
 
 // Guard watches the connections of one endpoint.
@@ -93,7 +105,7 @@
 			return nil, err
 		}
 		c := &conn{Conn: inner, guard: l.guard}
-		entry, ok := l.guard.settings.Registry.Open(l.guard.settings.Clock(), func() { _ = inner.Close() })
+		entry, ok := l.guard.settings.Registry.Open(l.guard.settings.Clock(), c.giveUp)
 		if !ok {
 			_ = inner.Close()
 			continue
@@ -125,6 +137,7 @@
 	case http.StateClosed:
 		_ = guarded.Conn.Close() // Close may have spared it
 		guarded.entry.Close()
+		guarded.reportUnanswered(g.settings.Clock())
 	case http.StateHijacked:
 		guarded.entry.Close()
 	}
@@ -150,6 +163,11 @@
 	head    int64  // reserved for the unfinished head of the next request
 	owed    int64  // to be reserved for it once the connection is no longer busy
 
+	arrived      time.Time    // end of the head of the request
+	written      atomic.Int64 // bytes written since then
+	callerClosed atomic.Bool  // a read has failed
+	givenUp      atomic.Bool
+
 	mu     sync.Mutex
 	inUse  bool // bytes of a request have been read since the connection was idle
 	closed bool
@@ -168,6 +186,29 @@
 	return c.Conn.Close()
 }
 
+// giveUp closes the connection to make room for others.
+func (c *conn) giveUp() {
+	c.givenUp.Store(true)
+	_ = c.Conn.Close()
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(b []byte) (n int, err error) {
+	n, err = c.Conn.Write(b)
+	c.written.Add(int64(n))
+	return n, err
+}
+
+// reportUnanswered reports a request that is in progress and has got no byte of a response. The
+// server must have closed the connection.
+func (c *conn) reportUnanswered(now time.Time) {
+	report := c.guard.settings.OnUnanswered
+	if report == nil || !c.busy || c.written.Load() > 0 || c.callerClosed.Load() {
+		return
+	}
+	report(Unanswered{Caller: c.RemoteAddr(), Since: now.Sub(c.arrived), GivenUp: c.givenUp.Load()})
+}
+
 // use records that bytes of a request have been read, and reports false if the connection has been
 // closed since. They must not be passed on then, because there can be no response.
 func (c *conn) use() bool {
@@ -188,6 +229,9 @@
 		n = copy(b, c.pending)
 		c.pending = c.pending[n:]
 	} else if n, err = c.Conn.Read(b); n == 0 {
+		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed) {
+			c.callerClosed.Store(true)
+		}
 		return n, err
 	}
 	if !c.use() {
@@ -246,6 +290,8 @@
 func (c *conn) beginRequest(now time.Time, p callerlimit.Phase) {
 	c.entry.Enter(now, p)
 	c.busy, c.head = true, 0
+	c.arrived = now
+	c.written.Store(0)
 }
 
 // refuse writes a response to a request whose head has not been passed on, which ends the
--- a/internal/router/endpoint.go
+++ b/internal/router/endpoint.go
@@ -24,10 +24,10 @@
 	r.peerAddress = peers.Addr().(*net.TCPAddr).AddrPort()
 	r.callerLimits = callerlimit.New(r.settings.Limits.callers())
 	r.peerLimits = callerlimit.New(r.settings.Limits.VM.Peers())
-	callerGuard := guard.New(guard.Settings{Registry: r.callerLimits, Refusal: callerapi.HeadRefusal(), Clock: r.settings.Clock})
-	peerGuard := guard.New(guard.Settings{Registry: r.peerLimits, Clock: r.settings.Clock})
-	r.callers = r.newServer(&r.callerHandler, callerGuard)
-	r.peers = r.newServer(&r.peerHandler, peerGuard)
+	callerGuard := guard.New(guard.Settings{Registry: r.callerLimits, Refusal: callerapi.HeadRefusal(), Clock: r.settings.Clock, OnUnanswered: guard.LogUnanswered(r.settings.Log, "callers")})
+	peerGuard := guard.New(guard.Settings{Registry: r.peerLimits, Clock: r.settings.Clock, OnUnanswered: guard.LogUnanswered(r.settings.Log, "peers")})
+	r.callers = r.newServer("callers", &r.callerHandler, callerGuard)
+	r.peers = r.newServer("peers", &r.peerHandler, peerGuard)
 	r.serveListener(r.callers, callerGuard.Listener(callers))
 	r.serveListener(r.peers, peerGuard.Listener(peers))
 	return nil
@@ -46,7 +46,7 @@
 	return limits.WithRequest(callerapi.LargestRequest(l.MaxBody) + guard.LargestOverhead(l.MaxHeader))
 }
 
-func (r *Router) newServer(h http.Handler, g *guard.Guard) *http.Server {
+func (r *Router) newServer(name string, h http.Handler, g *guard.Guard) *http.Server {
 	limits := r.settings.Limits
 	return &http.Server{
 		Handler:           h,
@@ -56,7 +56,7 @@
 		ReadTimeout:       limits.ReadTimeout,
 		IdleTimeout:       limits.IdleTimeout,
 		MaxHeaderBytes:    limits.MaxHeader,
-		ErrorLog:          r.settings.Log.StandardLogger(nil),
+		ErrorLog:          guard.ErrorLog(r.settings.Log, name),
 	}
 }
 
