endpoint: a stop does not cut off a request that has begun to arrive

Cause: net/http closes connections after a look at their state, which is idle until the whole head of the next request has been read. What is read in between is cut off. The same look acted at the other places: Shutdown at the end of the drain, and the endpoints for other routers and for readiness. A spared connection was also forgotten by the server, so that Shutdown did not wait for its request and the process exited. Change: package endpoint has the servers of a router. It uses neither Shutdown nor SetKeepAlivesEnabled. The guard ends a connection by the deadline of its reader, which has read a part of a request, and serves it, or closes. A stop waits until no connection is open. TestRequestThatArrivesWhileIdleConnectionsAreClosed and TestBytesOfAClosedConnectionAreNotPassedOn check the same as before through Drain and Close, since CloseIdle is gone.

--- a/internal/edge/defaults.go
+++ b/internal/edge/defaults.go
@@ -129,15 +129,6 @@
 	// the upstream announces no limit.
 	upstreamIdleTimeout = 3 * time.Second
 
-	// drainInterval is the time between two looks for requests in progress during a stop.
-	drainInterval = 10 * time.Millisecond
-	// lateRequestWait is how long a stopping router waits for requests on connections that
-	// callers have opened.
-	lateRequestWait = time.Second
-	// cutTimeout is how long the answers to requests may take that are cut off at the end of a
-	// stop. They are small.
-	cutTimeout = 100 * time.Millisecond
-
 	// peerBodyFactor is the memory that a call of another router takes for each byte of its
 	// body: a buffer of up to twice the size, and what is decoded from it.
 	peerBodyFactor = 4
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -33,6 +33,7 @@
 	"example.org/lagoonfork/internal/congestion"
 	"example.org/lagoonfork/internal/drain"
 	"example.org/lagoonfork/internal/duty"
+	"example.org/lagoonfork/internal/endpoint"
 	"example.org/lagoonfork/internal/event"
 	"example.org/lagoonfork/internal/exchange"
 	"example.org/lagoonfork/internal/figures"
@@ -158,8 +159,7 @@
 	roster         *roster.Roster
 	queue          *queue.Queue // before the upstreams
 	intake         *intake.Intake
-	callers        *endpoint // nil if there is none
-	endpoints      []*endpoint
+	endpoints      []*endpoint.Endpoint
 }
 
 // Start starts a router. It listens at once, and is ready once it holds a
@@ -171,23 +171,8 @@
 	r.build()
 	r.registerMetrics()
 	r.tomb.Go(r.watchMirrors)
-	for _, e := range []endpointSettings{
-		{name: "callers", address: s.CallerAddress, handler: r.intake, meter: r.congestion, limits: r.limits["callers"]},
-		{name: "ready", address: s.ReadyAddress, handler: r.readyHandler(), limits: r.limits["ready"]},
-		{name: "peers", address: s.PeerAddress, handler: r.peerHandler(), limits: r.limits["peers"]},
-	} {
-		if !e.address.IsValid() {
-			continue
-		}
-		e.clock, e.log = s.Clock, s.Log
-		listening, err := listen(e)
-		if err != nil {
-			return nil, errors.Join(err, r.Close(context.Background()))
-		}
-		r.endpoints = append(r.endpoints, listening)
-		if e.address == s.CallerAddress {
-			r.callers = listening
-		}
+	if err := r.listen(); err != nil {
+		return nil, errors.Join(err, r.Close(context.Background()))
 	}
 	r.tomb.Go(r.freePredecessorShares)
 	r.tomb.Go(r.remindOfLimits)
--- a/internal/edge/endpoint.go
+++ b/internal/edge/endpoint.go
@@ -1,21 +1,13 @@
 package edge
 
 import (
-	"context"
-	"errors"
-	"net"
 	"net/http"
 	"net/netip"
-	"sync/atomic"
-	"time"
 
-	"github.com/ansel1/merry/v2"
-	"github.com/hashicorp/go-hclog"
 	"goji.io"
 	"goji.io/pat"
 
-	"example.org/lagoonfork/internal/callerlimit"
-	"example.org/lagoonfork/internal/congestion"
+	"example.org/lagoonfork/internal/endpoint"
 	"example.org/lagoonfork/internal/forward"
 	"example.org/lagoonfork/internal/guard"
 	"example.org/lagoonfork/internal/ledger/recovery"
@@ -27,96 +19,36 @@
 	"example.org/lagoonfork/internal/quarantine/writer"
 )
 
-// endpoint is an HTTP server on one address.
-type endpoint struct {
-	listener net.Listener
-	server   *http.Server
-	done     chan error
-	cut      context.CancelCauseFunc // ends the contexts of all requests
-	open     atomic.Int64            // connections
-	guard    *guard.Guard
-}
-
-// endpointSettings configures an endpoint. Meter may be nil.
-type endpointSettings struct {
-	name    string // in the log
-	address netip.AddrPort
-	handler http.Handler
-	meter   *congestion.Meter // measures the bytes that callers send
-	limits  *callerlimit.Registry
-	clock   func() time.Time
-	log     hclog.Logger
-}
-
-// listen serves HTTP until close is called.
-func listen(s endpointSettings) (e *endpoint, err error) {
-	defer func() { err = merry.Prependf(err, "listening on %s", s.address) }()
-	l, err := net.Listen("tcp", s.address.String())
-	if err != nil {
-		return nil, err
-	}
-	if s.meter != nil {
-		l = s.meter.Listener(l)
-	}
-	g := guard.New(guard.Settings{Registry: s.limits, Clock: s.clock, OnUnanswered: guard.LogUnanswered(s.log, s.name)})
-	l = g.Listener(l)
-	ctx, cut := context.WithCancelCause(context.Background())
-	e = &endpoint{
-		listener: l,
-		cut:      cut,
-		guard:    g,
-		server: &http.Server{
-			Handler:           s.handler,
-			ConnContext:       g.ConnContext,
-			BaseContext:       func(net.Listener) context.Context { return ctx },
-			ReadHeaderTimeout: readHeaderTimeout,
-			IdleTimeout:       serverIdleTimeout,
-			MaxHeaderBytes:    maxHeaderBytes,
-			ErrorLog:          guard.ErrorLog(s.log, s.name),
-		},
-		done: make(chan error, 1),
-	}
-	e.server.ConnState = e.observeConnection
-	go func() { e.done <- e.server.Serve(l) }()
-	return e, nil
-}
-
-// observeConnection counts the open connections and tells the guard of their states.
-func (e *endpoint) observeConnection(c net.Conn, state http.ConnState) {
-	e.guard.ConnState(c, state)
-	switch state {
-	case http.StateNew:
-		e.open.Add(1)
-	case http.StateClosed, http.StateHijacked:
-		e.open.Add(-1)
-	}
-}
-
-// stopAccepting accepts no further connections and closes the idle ones. Requests that arrive on
-// connections that are open but have not been used are still served.
-func (e *endpoint) stopAccepting() (err error) {
-	e.guard.CloseIdle(func() { e.server.SetKeepAlivesEnabled(false) })
-	return e.listener.Close()
-}
-
-// close shuts the server down gracefully. The contexts of requests that have not finished when
-// ctx ends are canceled with the cause forward.ErrStopping, so that their callers get an answer.
-// Requests that have not finished soon after that are cut off.
-func (e *endpoint) close(ctx context.Context) error {
-	err := e.server.Shutdown(ctx)
-	e.cut(forward.ErrStopping)
-	if err != nil {
-		last, done := context.WithTimeout(context.Background(), cutTimeout)
-		defer done()
-		err = e.server.Shutdown(last)
-	}
-	if err != nil {
-		err = e.server.Close()
-	}
-	if served := <-e.done; !errors.Is(served, http.ErrServerClosed) && !errors.Is(served, net.ErrClosed) {
-		err = errors.Join(err, served)
+// listen starts the endpoints for callers, for checks of readiness and for other routers.
+func (r *Router) listen() error {
+	s := r.settings
+	for _, e := range []struct {
+		name    string
+		address netip.AddrPort
+		handler http.Handler
+	}{
+		{"callers", s.CallerAddress, r.intake},
+		{"ready", s.ReadyAddress, r.readyHandler()},
+		{"peers", s.PeerAddress, r.peerHandler()},
+	} {
+		if !e.address.IsValid() {
+			continue
+		}
+		settings := endpoint.Settings{
+			Name: e.name, Address: e.address, Handler: e.handler, Limits: r.limits[e.name],
+			ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: serverIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
+			Stopping: forward.ErrStopping, Clock: s.Clock, Log: s.Log,
+		}
+		if e.address == s.CallerAddress {
+			settings.Wrap = r.congestion.Listener
+		}
+		listening, err := endpoint.Listen(settings)
+		if err != nil {
+			return err
+		}
+		r.endpoints = append(r.endpoints, listening)
 	}
-	return err
+	return nil
 }
 
 // Paths at which routers tell each other of crashes of upstreams and of their limits.
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -17,22 +17,6 @@
 	return plan == nil || plan.Accepts(now, end)
 }
 
-// awaitRequests waits until no request of a caller is in progress or ctx ends. For a while it
-// also waits for requests on connections that are open, because a server that shuts down closes
-// these without an answer.
-func (r *Router) awaitRequests(ctx context.Context) {
-	late := time.After(lateRequestWait)
-	for waiting := true; r.intake.InFlight() > 0 || waiting && r.callers.open.Load() > 0; {
-		select {
-		case <-late:
-			waiting = false
-		case <-time.After(drainInterval):
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
 // Close stops the router. From then on the router is not ready, and leaves the duties
 // that it performs for other routers to the routers that rank next. It accepts requests
 // during the drain delay, and finishes those in progress until the drain timeout passes
@@ -57,12 +41,8 @@
 	case <-time.After(r.settings.DrainDelay):
 	case <-ctx.Done():
 	}
-	if r.callers != nil {
-		err = r.callers.stopAccepting()
-		r.awaitRequests(ctx)
-	}
 	for _, e := range r.endpoints {
-		err = errors.Join(err, e.close(ctx))
+		err = errors.Join(err, e.Close(ctx))
 	}
 	remaining := r.intake.InFlight()
 	r.tomb.Kill(nil)
--- /dev/null
+++ b/internal/endpoint/endpoint.go
@@ -0,0 +1,168 @@
+// Package endpoint serves HTTP on one address, within limits for callers that nobody controls, and
+// stops without cutting off a request that has begun to arrive.
+//
+// It does not use Shutdown or SetKeepAlivesEnabled of net/http. These close a connection after a look
+// at its state, which is idle until the whole head of the next request has been read. A request that
+// arrives between the two steps is cut off, although it may run. An Endpoint has each connection
+// closed by the goroutine that reads it (see package guard).
+//
+// # Usage
+//
+//	e, err := endpoint.Listen(endpoint.Settings{Name: "callers", Address: address, Handler: h, ...})
+//	...
+//	err = e.StopAccepting() // open connections end once they are idle
+//	err = e.Close(ctx)
+package endpoint
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/hashicorp/go-hclog"
+
+	"example.org/lagoonfork/internal/callerlimit"
+	"example.org/lagoonfork/internal/guard"
+)
+
+const (
+	// unusedWait is how long a connection on which no request has arrived is kept after it was
+	// accepted, and lateWait how long at least after the endpoint has stopped accepting others.
+	unusedWait = 5 * time.Second
+	lateWait   = time.Second
+	// cutTimeout is how long the responses to requests may take that are cut off at the end of a
+	// stop. They are small.
+	cutTimeout = 100 * time.Millisecond
+	// pollInterval is the time between two looks for open connections during a stop.
+	pollInterval = 10 * time.Millisecond
+)
+
+// Settings configures an Endpoint. Wrap, Refusal and the limits that are zero are optional.
+type Settings struct {
+	Name    string // in the log
+	Address netip.AddrPort
+	Handler http.Handler
+	// Wrap returns a listener that is used instead of the endpoint's own.
+	Wrap    func(net.Listener) net.Listener
+	Limits  *callerlimit.Registry
+	Refusal []byte // see guard.Settings
+
+	ReadHeaderTimeout, ReadTimeout, IdleTimeout time.Duration
+	MaxHeaderBytes                              int
+
+	// Stopping is the cause with which the contexts of requests are canceled that have not ended
+	// when the endpoint has to be closed.
+	Stopping error
+	Clock    func() time.Time
+	Log      hclog.Logger
+}
+
+// Endpoint is an HTTP server on one address. Its methods are safe for concurrent use, but for
+// Close, which is called once.
+type Endpoint struct {
+	settings Settings
+	listener net.Listener
+	server   *http.Server
+	guard    *guard.Guard
+	cut      context.CancelCauseFunc // ends the contexts of all requests
+	served   chan struct{}           // closed when no connection is accepted any more
+	serveErr error                   // valid once served is closed
+}
+
+// Listen serves HTTP until Close is called.
+func Listen(s Settings) (e *Endpoint, err error) {
+	defer func() { err = merry.Prependf(err, "listening on %s", s.Address) }()
+	l, err := net.Listen("tcp", s.Address.String())
+	if err != nil {
+		return nil, err
+	}
+	g := guard.New(guard.Settings{Registry: s.Limits, Refusal: s.Refusal, Clock: s.Clock, OnUnanswered: guard.LogUnanswered(s.Log, s.Name)})
+	ctx, cut := context.WithCancelCause(context.Background())
+	e = &Endpoint{
+		settings: s, listener: l, guard: g, cut: cut, served: make(chan struct{}),
+		server: &http.Server{
+			Handler:           s.Handler,
+			ConnContext:       g.ConnContext,
+			ConnState:         g.ConnState,
+			BaseContext:       func(net.Listener) context.Context { return ctx },
+			ReadHeaderTimeout: s.ReadHeaderTimeout,
+			ReadTimeout:       s.ReadTimeout,
+			IdleTimeout:       s.IdleTimeout,
+			MaxHeaderBytes:    s.MaxHeaderBytes,
+			ErrorLog:          guard.ErrorLog(s.Log, s.Name),
+		},
+	}
+	if s.Wrap != nil {
+		l = s.Wrap(l)
+	}
+	go func() {
+		defer close(e.served)
+		e.serveErr = e.server.Serve(g.Listener(l))
+	}()
+	return e, nil
+}
+
+// Address returns the address in use. Port 0 is replaced by the port that was chosen.
+func (e *Endpoint) Address() netip.AddrPort {
+	return e.listener.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// StopAccepting accepts no further connections and has those that are open end once they are idle.
+// Requests that arrive on connections that have not been used yet are still served.
+func (e *Endpoint) StopAccepting() (err error) {
+	err = unlessClosed(e.listener.Close())
+	e.guard.Drain(time.Time{})
+	return err
+}
+
+// Close stops accepting, and waits until all connections have ended. The contexts of requests that
+// have not ended when ctx ends are canceled with the cause Stopping, so that their callers get a
+// response. What has not ended soon after that is cut off.
+func (e *Endpoint) Close(ctx context.Context) (err error) {
+	err = e.StopAccepting()
+	if !e.awaitConnections(ctx) {
+		e.cut(e.settings.Stopping)
+		last, done := context.WithTimeout(context.Background(), cutTimeout)
+		defer done()
+		e.awaitConnections(last)
+	}
+	return errors.Join(err, e.Kill())
+}
+
+// Kill closes all connections at once, as if the process had died. It may be called several times.
+func (e *Endpoint) Kill() (err error) {
+	err = e.server.Close()
+	e.cut(e.settings.Stopping)
+	<-e.served
+	return errors.Join(unlessClosed(err), unlessClosed(e.serveErr))
+}
+
+// unlessClosed returns err, or nil if it only says that the listener or the server is closed.
+func unlessClosed(err error) error {
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
+}
+
+// awaitConnections waits until no connection is open and reports true, or false if ctx ends before.
+func (e *Endpoint) awaitConnections(ctx context.Context) bool {
+	accepting := e.settings.Clock()
+	poll := time.NewTicker(pollInterval)
+	defer poll.Stop()
+	for e.guard.Connections() > 0 {
+		select {
+		case <-poll.C:
+		case <-ctx.Done():
+			return false
+		}
+		if now := e.settings.Clock(); now.Sub(accepting) >= lateWait {
+			e.guard.Drain(now.Add(-unusedWait))
+		}
+	}
+	return true
+}
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -78,15 +78,60 @@
 	GivenUp bool
 }
 
-// Guard watches the connections of one endpoint.
+// Guard watches the connections of one endpoint. Its methods are safe for concurrent use.
 type Guard struct {
 	settings Settings
-	// closingIdle is set while CloseIdle runs.
-	closingIdle atomic.Bool
+
+	mu          sync.Mutex
+	connections map[*conn]struct{}
+	draining    bool
 }
 
 // New returns a Guard.
-func New(s Settings) *Guard { return &Guard{settings: s} }
+func New(s Settings) *Guard {
+	return &Guard{settings: s, connections: make(map[*conn]struct{})}
+}
+
+// Connections returns the number of open connections.
+func (g *Guard) Connections() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.connections)
+}
+
+// Drain ends connections that wait for a request, and from then on each that has been used once it
+// is idle. Connections on which no request has arrived yet are kept if they were accepted after the
+// given time.
+//
+// A connection ends by the deadline of its reader, so that a request of which a part has been read
+// is served. net/http instead closes connections whose state is idle, which lasts until the whole
+// head has been read, and cuts off what has arrived meanwhile.
+func (g *Guard) Drain(unusedSince time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.draining = true
+	for c := range g.connections {
+		c.drain(unusedSince)
+	}
+}
+
+func (g *Guard) add(c *conn) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.connections[c] = struct{}{}
+}
+
+func (g *Guard) remove(c *conn) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.connections, c)
+}
+
+func (g *Guard) isDraining() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.draining
+}
 
 // Listener returns a listener that accepts the connections of l within the limits. Others are
 // closed.
@@ -104,13 +149,15 @@
 		if err != nil {
 			return nil, err
 		}
-		c := &conn{Conn: inner, guard: l.guard}
-		entry, ok := l.guard.settings.Registry.Open(l.guard.settings.Clock(), c.giveUp)
+		now := l.guard.settings.Clock()
+		c := &conn{Conn: inner, guard: l.guard, accepted: now}
+		entry, ok := l.guard.settings.Registry.Open(now, c.giveUp)
 		if !ok {
 			_ = inner.Close()
 			continue
 		}
 		c.entry = entry
+		l.guard.add(c)
 		return c, nil
 	}
 }
@@ -135,23 +182,15 @@
 	case http.StateIdle:
 		guarded.endRequest(g.settings.Clock())
 	case http.StateClosed:
-		_ = guarded.Conn.Close() // Close may have spared it
+		g.remove(guarded)
 		guarded.entry.Close()
 		guarded.reportUnanswered(g.settings.Clock())
 	case http.StateHijacked:
+		g.remove(guarded)
 		guarded.entry.Close()
 	}
 }
 
-// CloseIdle calls closeIdle, which has the server close its idle connections. It spares those on
-// which a request has arrived meanwhile: net/http closes a connection that it has found idle
-// although a request has been read from it since.
-func (g *Guard) CloseIdle(closeIdle func()) {
-	g.closingIdle.Store(true)
-	defer g.closingIdle.Store(false)
-	closeIdle()
-}
-
 // conn is a connection whose reads are counted. net/http does not read from it concurrently.
 type conn struct {
 	net.Conn
@@ -163,32 +202,66 @@
 	head    int64  // reserved for the unfinished head of the next request
 	owed    int64  // to be reserved for it once the connection is no longer busy
 
-	arrived      time.Time    // end of the head of the request
+	headEnd      time.Time    // of the request
 	written      atomic.Int64 // bytes written since then
 	callerClosed atomic.Bool  // a read has failed
-	givenUp      atomic.Bool
-
-	mu     sync.Mutex
-	inUse  bool // bytes of a request have been read since the connection was idle
-	closed bool
+	accepted     time.Time
+
+	mu       sync.Mutex
+	used     bool // a request has begun to arrive
+	inUse    bool // bytes of a request have been read since the connection was idle
+	ending   bool // closed as soon as it is not in use
+	givenUp  bool // to make room for others
+	closed   bool
+	deadline time.Time // that the server has set for reads
 }
 
-// Close implements net.Conn. The server closes what CloseIdle has spared once the response has been
-// written.
+// past is a deadline that ends reads at once.
+var past = time.Unix(1, 0)
+
+// Close implements net.Conn.
 func (c *conn) Close() error {
 	c.mu.Lock()
-	spared := c.guard.closingIdle.Load() && c.inUse
-	c.closed = c.closed || !spared
+	c.closed = true
 	c.mu.Unlock()
-	if spared {
+	return c.Conn.Close()
+}
+
+// SetReadDeadline implements net.Conn. Once the connection ends, the deadline takes effect only if a
+// request arrives after all.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = t
+	if c.ending && !c.inUse {
 		return nil
 	}
-	return c.Conn.Close()
+	return c.Conn.SetReadDeadline(t)
+}
+
+// drain ends the connection once it is idle, unless it is unused and was accepted after the given
+// time.
+func (c *conn) drain(unusedSince time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.used || !c.accepted.After(unusedSince) {
+		c.end()
+	}
+}
+
+// end has the reader close the connection as soon as it is not in use. c.mu must be held.
+func (c *conn) end() {
+	c.ending = true
+	if !c.inUse {
+		_ = c.Conn.SetReadDeadline(past) // fails only if the connection is closed
+	}
 }
 
 // giveUp closes the connection to make room for others.
 func (c *conn) giveUp() {
-	c.givenUp.Store(true)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.givenUp, c.closed = true, true
 	_ = c.Conn.Close()
 }
 
@@ -206,16 +279,27 @@
 	if report == nil || !c.busy || c.written.Load() > 0 || c.callerClosed.Load() {
 		return
 	}
-	report(Unanswered{Caller: c.RemoteAddr(), Since: now.Sub(c.arrived), GivenUp: c.givenUp.Load()})
+	c.mu.Lock()
+	givenUp := c.givenUp
+	c.mu.Unlock()
+	report(Unanswered{Caller: c.RemoteAddr(), Since: now.Sub(c.headEnd), GivenUp: givenUp})
 }
 
-// use records that bytes of a request have been read, and reports false if the connection has been
-// closed since. They must not be passed on then, because there can be no response.
-func (c *conn) use() bool {
+// advance has the scanner follow bytes that have been read. It reports false if the connection has
+// been closed since they were read. They must not be passed on then, because there can be no
+// response.
+func (c *conn) advance(b []byte) (part requestframe.Part, taken int, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.inUse = true
-	return !c.closed
+	if !c.inUse {
+		c.used, c.inUse = true, true
+		if c.ending {
+			_ = c.Conn.SetReadDeadline(c.deadline) // fails only if the connection is closed
+		}
+	}
+	part = c.scanner.Part()
+	taken = c.scanner.Advance(b)
+	return part, taken, !c.closed
 }
 
 // Read implements net.Conn. It returns bytes of one head or of one body, never of both, so that
@@ -234,11 +318,11 @@
 		}
 		return n, err
 	}
-	if !c.use() {
+	started := c.scanner.Started()
+	part, taken, ok := c.advance(b[:n])
+	if !ok {
 		return 0, net.ErrClosed
 	}
-	part, started := c.scanner.Part(), c.scanner.Started()
-	taken := c.scanner.Advance(b[:n])
 	if taken < n {
 		c.pending = append(append([]byte(nil), b[taken:n]...), c.pending...)
 	}
@@ -290,7 +374,7 @@
 func (c *conn) beginRequest(now time.Time, p callerlimit.Phase) {
 	c.entry.Enter(now, p)
 	c.busy, c.head = true, 0
-	c.arrived = now
+	c.headEnd = now
 	c.written.Store(0)
 }
 
@@ -313,9 +397,7 @@
 // endRequest releases the memory of the request that has ended.
 func (c *conn) endRequest(now time.Time) {
 	c.busy = false
-	c.mu.Lock()
-	c.inUse = c.owed > 0 || len(c.pending) > 0
-	c.mu.Unlock()
+	c.becomeIdle()
 	c.entry.Release(c.head)
 	if c.owed > 0 {
 		c.entry.Enter(now, callerlimit.Receiving)
@@ -324,6 +406,18 @@
 	}
 }
 
+// becomeIdle records that the connection waits for the next request, unless a part of it has
+// arrived.
+func (c *conn) becomeIdle() {
+	draining := c.guard.isDraining()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.inUse = c.owed > 0 || len(c.pending) > 0
+	if draining || c.ending {
+		c.end()
+	}
+}
+
 // RetryAfter returns when a refused request should be sent again. By then stalled requests have
 // become recognizable, and have made room.
 func RetryAfter() time.Duration { return time.Second + rand.N(time.Second) }
--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -199,73 +200,80 @@
 	assert.NoError(t, <-read)
 }
 
+// newConn returns a guarded connection and the other end of it. afterRead is called just after bytes
+// have been read from the network.
+func newConn(t *testing.T, r *callerlimit.Registry, afterRead func(c *conn)) (c *conn, far net.Conn) {
+	near, far := net.Pipe()
+	t.Cleanup(func() { _ = far.Close() })
+	c = &conn{guard: New(Settings{Registry: r, Clock: time.Now})}
+	c.Conn = readHook{near, func() { afterRead(c) }}
+	entry, ok := r.Open(time.Now(), c.giveUp)
+	require.True(t, ok)
+	c.entry = entry
+	c.guard.add(c)
+	return c, far
+}
+
+// readHook is a connection that calls a function just after each read.
+type readHook struct {
+	net.Conn
+	afterRead func()
+}
+
+// Read implements net.Conn.
+func (c readHook) Read(b []byte) (n int, err error) {
+	n, err = c.Conn.Read(b)
+	c.afterRead()
+	return n, err
+}
+
+const shortRequest = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+
 // TestRequestThatArrivesWhileIdleConnectionsAreClosed guards against a request that is cut off
-// because the server found its connection idle just before it was read.
+// because its connection was found idle just before it was read.
 func TestRequestThatArrivesWhileIdleConnectionsAreClosed(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c, far := newConn(t, callerlimit.New(callerlimit.Limits{}), func(c *conn) { c.guard.Drain(time.Now()) })
+	go func() { _, _ = io.WriteString(far, shortRequest) }()
+	b := make([]byte, 100)
+	n, err := c.Read(b)
 	require.NoError(t, err)
-	g := New(Settings{Registry: callerlimit.New(callerlimit.Limits{}), Clock: time.Now})
-	active, release, ended := make(chan net.Conn, 1), make(chan struct{}), make(chan struct{})
-	server := &http.Server{
-		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-			<-release
-			_, _ = io.WriteString(w, "whole")
-		}),
-		ConnContext: g.ConnContext,
-		ConnState: func(c net.Conn, state http.ConnState) {
-			g.ConnState(c, state)
-			switch state {
-			case http.StateActive:
-				active <- c
-			case http.StateClosed:
-				close(ended)
-			}
-		},
-	}
-	go func() { _ = server.Serve(g.Listener(l)) }()
-	t.Cleanup(func() { _ = server.Close() })
-	c := dial(t, l.Addr().String())
-	_, err = io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	assert.Equal(t, shortRequest, string(b[:n]))
+	go func() { _, _ = io.WriteString(c, "whole") }()
+	n, err = far.Read(b)
 	require.NoError(t, err)
-	accepted := <-active
-	g.CloseIdle(func() {
-		server.SetKeepAlivesEnabled(false)
-		_ = accepted.Close() // as if it had been found idle
-	})
-	close(release)
-	responses := bufio.NewReader(c)
-	response, body := receive(t, responses)
-	assert.Equal(t, http.StatusOK, response.StatusCode)
-	assert.Equal(t, "whole", body)
-	<-ended
-	_, err = responses.ReadByte()
-	assert.ErrorIs(t, err, io.EOF, "the server closes it after the response")
+	assert.Equal(t, "whole", string(b[:n]))
+	c.guard.ConnState(c, http.StateIdle)
+	require.NoError(t, c.SetReadDeadline(time.Now().Add(time.Hour)))
+	_, err = c.Read(b)
+	assert.ErrorIs(t, err, os.ErrDeadlineExceeded, "it ends after the response")
 }
 
 // TestBytesOfAClosedConnectionAreNotPassedOn guards against a request that is run although its
 // connection was closed between the read of its bytes and their use.
 func TestBytesOfAClosedConnectionAreNotPassedOn(t *testing.T) {
-	near, far := net.Pipe()
-	t.Cleanup(func() { _ = far.Close() })
-	g := New(Settings{Registry: callerlimit.New(callerlimit.Limits{}), Clock: time.Now})
-	entry, ok := g.settings.Registry.Open(time.Now(), func() {})
-	require.True(t, ok)
-	var c *conn
-	c = &conn{guard: g, entry: entry, Conn: closeAfterRead{near, func() { g.CloseIdle(func() { _ = c.Close() }) }}}
-	go func() { _, _ = io.WriteString(far, "GET / HTTP/1.1\r\nHost: h\r\n\r\n") }()
+	c, far := newConn(t, callerlimit.New(callerlimit.Limits{}), func(c *conn) { _ = c.Close() })
+	go func() { _, _ = io.WriteString(far, shortRequest) }()
 	n, err := c.Read(make([]byte, 100))
 	assert.Zero(t, n)
 	assert.ErrorIs(t, err, net.ErrClosed)
 }
 
-// closeAfterRead is a connection that is closed by another goroutine just after a read.
-type closeAfterRead struct {
-	net.Conn
-	close func()
-}
+// TestDrainKeepsUnusedConnections guards against callers that have just opened a connection, and
+// whose request is on its way, losing it when a router stops.
+func TestDrainKeepsUnusedConnections(t *testing.T) {
+	r := callerlimit.New(callerlimit.Limits{})
+	c, far := newConn(t, r, func(*conn) {})
+	c.accepted = time.Unix(1000, 0)
+	c.guard.Drain(c.accepted.Add(-1))
+	go func() { _, _ = io.WriteString(far, shortRequest) }()
+	b := make([]byte, 100)
+	n, err := c.Read(b)
+	require.NoError(t, err)
+	assert.Equal(t, shortRequest, string(b[:n]))
 
-func (c closeAfterRead) Read(b []byte) (n int, err error) {
-	n, err = c.Conn.Read(b)
-	c.close()
-	return n, err
+	c, _ = newConn(t, r, func(*conn) {})
+	c.accepted = time.Unix(1000, 0)
+	c.guard.Drain(c.accepted)
+	_, err = c.Read(b)
+	assert.ErrorIs(t, err, os.ErrDeadlineExceeded)
 }
