callerlimit, guard: a request that has just arrived is not given up

What callers may see: on a VM whose connections are all in use, a request gets no answer. Between the read of a request and Enter its connection still counts as waiting, as receiving a head or as uploading, and could be closed for a newcomer. The refusal was then written to a closed connection, and a request whose body had just ended ran although nobody could be answered. Change: giveUp reports false where the request has arrived, and the registry chooses another connection. An idle connection is not closed but ended by the deadline of its reader: a request that arrives meanwhile is refused with 503 and a Retry-After.

--- a/internal/callerapi/memory_test.go
+++ b/internal/callerapi/memory_test.go
@@ -46,7 +46,7 @@
 // against one that says that a request has not run which an earlier one with its key may have.
 func TestRefusalsForMemory(t *testing.T) {
 	registry := callerlimit.New(callerlimit.Limits{Memory: 400 << 10})
-	other, ok := registry.Open(time.Now(), func() {})
+	other, ok := registry.Open(time.Now(), func(callerlimit.Phase) bool { return true })
 	require.True(t, ok)
 	require.True(t, other.Reserve(time.Now(), 250<<10))
 	g := guard.New(guard.Settings{Registry: registry, Clock: time.Now})
--- a/internal/callerlimit/callerlimit.go
+++ b/internal/callerlimit/callerlimit.go
@@ -97,7 +97,7 @@
 // Connection is one connection of a Registry. Its methods are safe for concurrent use.
 type Connection struct {
 	registry *Registry
-	giveUp   func()
+	giveUp   func(Phase) bool
 
 	// Guarded by registry.mu.
 	phase       Phase
@@ -110,17 +110,18 @@
 }
 
 // Open adds a connection that waits for a request, or reports that it has to be closed. It may
-// give up another one, whose giveUp it calls. giveUp must not block and not call the Registry.
-func (r *Registry) Open(now time.Time, giveUp func()) (c *Connection, ok bool) {
+// give up another one, whose giveUp it calls with the phase. giveUp must not block and not call the
+// Registry. It returns false if the connection is about to enter another phase and stays.
+func (r *Registry) Open(now time.Time, giveUp func(Phase) bool) (c *Connection, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.limits.Connections > 0 && len(r.connections) >= r.limits.Connections {
+	for r.limits.Connections > 0 && len(r.connections) >= r.limits.Connections {
 		victim := r.connectionToGiveUp(now)
 		if victim == nil {
 			r.counts.ConnectionsRefused++
 			return nil, false
 		}
-		r.drop(victim)
+		r.drop(now, victim)
 	}
 	c = &Connection{registry: r, giveUp: giveUp, phase: Waiting, progress: now}
 	r.connections[c] = struct{}{}
@@ -169,8 +170,13 @@
 // minProgress returns how many bytes of a body have to arrive in slowWindow.
 func (c *Connection) minProgress() int64 { return max(slowBytes, c.reserved/slowParts) }
 
-// drop gives up a connection. r.mu must be held.
-func (r *Registry) drop(c *Connection) {
+// drop gives up a connection. One that stays counts as running until it enters the phase that it is
+// about to enter. r.mu must be held.
+func (r *Registry) drop(now time.Time, c *Connection) {
+	if !c.giveUp(c.phase) {
+		c.phase, c.progress = Running, now
+		return
+	}
 	switch c.phase {
 	case Receiving:
 		r.counts.HeadsClosed++
@@ -180,7 +186,6 @@
 		r.counts.WaitingClosed++
 	}
 	c.remove()
-	c.giveUp()
 }
 
 // remove removes the connection and its reservation. registry.mu must be held.
@@ -241,7 +246,7 @@
 				r.counts.MemoryRefused++
 				return false
 			}
-			r.drop(victim)
+			r.drop(now, victim)
 		}
 	}
 	c.reserved += n
--- a/internal/callerlimit/callerlimit_test.go
+++ b/internal/callerlimit/callerlimit_test.go
@@ -16,12 +16,21 @@
 	*Registry
 	t       *testing.T
 	givenUp []string
+	arrived map[string]bool // connections whose request the phase does not show yet
 }
 
+func givenUp(Phase) bool { return true }
+
 func newHarness(t *testing.T, l Limits) *harness { return &harness{Registry: New(l), t: t} }
 
 func (h *harness) open(now time.Time, name string, p Phase) *Connection {
-	c, ok := h.Open(now, func() { h.givenUp = append(h.givenUp, name) })
+	c, ok := h.Open(now, func(Phase) bool {
+		if h.arrived[name] {
+			return false
+		}
+		h.givenUp = append(h.givenUp, name)
+		return true
+	})
 	require.True(h.t, ok, name)
 	if p != Waiting {
 		c.Enter(now, p)
@@ -49,7 +58,7 @@
 		require.Len(t, h.givenUp, n+1)
 		assert.Equal(t, want, h.givenUp[n])
 	}
-	_, ok := h.Open(start.Add(time.Minute), func() {})
+	_, ok := h.Open(start.Add(time.Minute), givenUp)
 	assert.False(t, ok, "all connections are in use")
 	assert.Equal(t, Counts{ConnectionsRefused: 1, WaitingClosed: 4, HeadsClosed: 1, UploadsClosed: 1}, h.State().Counts)
 }
@@ -124,7 +133,7 @@
 		for range rapid.IntRange(1, 80).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 700).Draw(t, "ms")) * time.Millisecond)
 			if len(all) == 0 || rapid.IntRange(0, 3).Draw(t, "open") == 0 {
-				if c, ok := r.Open(now, func() {}); ok {
+				if c, ok := r.Open(now, givenUp); ok {
 					all = append(all, c)
 				}
 				continue
@@ -161,7 +170,7 @@
 	require.True(t, going.Reserve(start, 300<<10))
 	require.True(t, stalled.Reserve(start, 300<<10))
 	now := start.Add(connectionPatience - 1)
-	_, ok := h.Open(now, func() {})
+	_, ok := h.Open(now, givenUp)
 	assert.False(t, ok)
 	going.Progress(now, 1000)
 	newcomer := h.open(start.Add(connectionPatience), "newcomer", Uploading)
@@ -208,3 +217,23 @@
 	assert.True(t, other.Reserve(start, 80<<10))
 	assert.EqualValues(t, 80<<10, h.State().Memory)
 }
+
+// TestRequestThatHasJustArrivedIsNotGivenUp guards against a connection that is closed because it
+// still counts as waiting, receiving or uploading although its request has arrived.
+func TestRequestThatHasJustArrivedIsNotGivenUp(t *testing.T) {
+	for _, p := range []Phase{Waiting, Receiving, Uploading} {
+		h := newHarness(t, Limits{Connections: 2, Memory: 1 << 20})
+		h.arrived = map[string]bool{"arrived": true}
+		arrived := h.open(start, "arrived", p)
+		require.True(t, arrived.Reserve(start, 500<<10))
+		h.open(start.Add(time.Millisecond), "other", p)
+		now := start.Add(time.Minute)
+		newcomer := h.open(now, "newcomer", Uploading)
+		assert.Equal(t, []string{"other"}, h.givenUp)
+		assert.False(t, newcomer.Reserve(now, 500<<10), "the memory is in use")
+		assert.Equal(t, []string{"other"}, h.givenUp)
+		assert.True(t, arrived.Reserve(now, 1))
+		h.open(now.Add(time.Minute), "last", Running)
+		assert.Equal(t, []string{"other", "newcomer"}, h.givenUp)
+	}
+}
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -210,6 +210,7 @@
 	mu       sync.Mutex
 	used     bool // a request has begun to arrive
 	inUse    bool // bytes of a request have been read since the connection was idle
+	whole    bool // all of that request has been read
 	ending   bool // closed as soon as it is not in use
 	givenUp  bool // to make room for others
 	closed   bool
@@ -257,12 +258,22 @@
 	}
 }
 
-// giveUp closes the connection to make room for others.
-func (c *conn) giveUp() {
+// giveUp ends the connection to make room for others, or reports false if a request has arrived
+// that the phase does not show yet. A request that arrives meanwhile is refused.
+func (c *conn) giveUp(p callerlimit.Phase) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.givenUp, c.closed = true, true
-	_ = c.Conn.Close()
+	switch {
+	case c.whole, p == callerlimit.Waiting && c.inUse:
+		return false
+	case c.inUse:
+		c.closed = true
+		_ = c.Conn.Close()
+	default:
+		c.end()
+	}
+	c.givenUp = true
+	return true
 }
 
 // Write implements net.Conn.
@@ -299,6 +310,9 @@
 	}
 	part = c.scanner.Part()
 	taken = c.scanner.Advance(b)
+	if !c.busy || part == requestframe.Body {
+		c.whole = c.scanner.Part() == requestframe.Head && (part == requestframe.Body || c.scanner.Complete())
+	}
 	return part, taken, !c.closed
 }
 
@@ -412,7 +426,7 @@
 	draining := c.guard.isDraining()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.inUse = c.owed > 0 || len(c.pending) > 0
+	c.inUse, c.whole = c.owed > 0 || len(c.pending) > 0, false
 	if draining || c.ending {
 		c.end()
 	}
--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -258,6 +258,47 @@
 	assert.ErrorIs(t, err, net.ErrClosed)
 }
 
+// TestRequestOnAConnectionThatIsGivenUpIsRefused guards against a request that gets no response
+// because its connection made room for another just before it was read.
+func TestRequestOnAConnectionThatIsGivenUpIsRefused(t *testing.T) {
+	r := callerlimit.New(callerlimit.Limits{Connections: 1})
+	c, far := newConn(t, r, func(*conn) { _, _ = r.Open(time.Now(), func(callerlimit.Phase) bool { return true }) })
+	refused := make(chan error, 1)
+	go func() {
+		_, err := c.Read(make([]byte, 100))
+		refused <- err
+		_ = c.Close()
+	}()
+	_, err := io.WriteString(far, shortRequest)
+	require.NoError(t, err)
+	response, err := http.ReadResponse(bufio.NewReader(far), nil)
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	assert.NotEmpty(t, response.Header.Get("Retry-After"))
+	require.NoError(t, far.Close())
+	assert.ErrorIs(t, <-refused, io.EOF)
+	assert.EqualValues(t, 1, r.State().WaitingClosed)
+}
+
+// TestUploadThatHasEndedIsNotGivenUp guards against a request whose connection is closed because the
+// last bytes of its slow body have been read, but not counted.
+func TestUploadThatHasEndedIsNotGivenUp(t *testing.T) {
+	r := callerlimit.New(callerlimit.Limits{})
+	c, far := newConn(t, r, func(*conn) {})
+	b := make([]byte, 100)
+	for _, part := range []string{"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n", "a"} {
+		go func() { _, _ = io.WriteString(far, part) }()
+		_, err := c.Read(b)
+		require.NoError(t, err)
+	}
+	_, taken, ok := c.advance([]byte("b"))
+	require.True(t, ok)
+	require.Equal(t, 1, taken)
+	assert.False(t, c.giveUp(callerlimit.Uploading))
+	_, _, ok = c.advance(nil)
+	assert.True(t, ok, "it is open")
+}
+
 // TestDrainKeepsUnusedConnections guards against callers that have just opened a connection, and
 // whose request is on its way, losing it when a router stops.
 func TestDrainKeepsUnusedConnections(t *testing.T) {
