router: a stop answers requests that have begun to arrive, also of other routers

Cause: the product's own router closed its endpoint for callers by Shutdown of net/http, which cuts off a request that is read while its connection counts as idle, and its endpoint for other routers by Close, which cuts off all of them. A call that lends tokens or holds a bill then gets no response. Change: both endpoints are of package endpoint. The polls of other routers for the next configuration end first. Unused connections are waited for only at the endpoint for callers (UnusedWait), as clients of net/http leave some that are never used.

--- a/internal/edge/defaults.go
+++ b/internal/edge/defaults.go
@@ -136,6 +136,9 @@
 	peerBodyTimeout = 5 * time.Second
 
 	readHeaderTimeout = 10 * time.Second
+	// unusedWait is how long a stopping router waits for the first request on a connection that a
+	// caller has opened.
+	unusedWait        = 5 * time.Second
 	serverIdleTimeout = 75 * time.Second
 	maxHeaderBytes    = 32 << 10
 )
--- a/internal/edge/endpoint.go
+++ b/internal/edge/endpoint.go
@@ -41,6 +41,7 @@
 		}
 		if e.address == s.CallerAddress {
 			settings.Wrap = r.congestion.Listener
+			settings.UnusedWait = unusedWait
 		}
 		listening, err := endpoint.Listen(settings)
 		if err != nil {
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -30,10 +30,9 @@
 )
 
 const (
-	// unusedWait is how long a connection on which no request has arrived is kept after it was
-	// accepted, and lateWait how long at least after the endpoint has stopped accepting others.
-	unusedWait = 5 * time.Second
-	lateWait   = time.Second
+	// lateWait is how long connections on which no request has arrived are kept at least, however
+	// long ago they were accepted, once the endpoint has stopped accepting others.
+	lateWait = time.Second
 	// cutTimeout is how long the responses to requests may take that are cut off at the end of a
 	// stop. They are small.
 	cutTimeout = 100 * time.Millisecond
@@ -41,7 +40,7 @@
 	pollInterval = 10 * time.Millisecond
 )
 
-// Settings configures an Endpoint. Wrap, Refusal and the limits that are zero are optional.
+// Settings configures an Endpoint. Wrap, Refusal, UnusedWait and the limits are optional.
 type Settings struct {
 	Name    string // in the log
 	Address netip.AddrPort
@@ -54,6 +53,9 @@
 	ReadHeaderTimeout, ReadTimeout, IdleTimeout time.Duration
 	MaxHeaderBytes                              int
 
+	// UnusedWait is how long a connection on which no request has arrived is kept during a stop,
+	// since it was accepted. With 0 it ends at once.
+	UnusedWait time.Duration
 	// Stopping is the cause with which the contexts of requests are canceled that have not ended
 	// when the endpoint has to be closed.
 	Stopping error
@@ -160,8 +162,8 @@
 		case <-ctx.Done():
 			return false
 		}
-		if now := e.settings.Clock(); now.Sub(accepting) >= lateWait {
-			e.guard.Drain(now.Add(-unusedWait))
+		if now := e.settings.Clock(); now.Sub(accepting) >= min(lateWait, e.settings.UnusedWait) {
+			e.guard.Drain(now.Add(-e.settings.UnusedWait))
 		}
 	}
 	return true
--- a/internal/endpoint/endpoint_test.go
+++ b/internal/endpoint/endpoint_test.go
@@ -29,7 +29,7 @@
 func listen(t *testing.T, h http.HandlerFunc) *Endpoint {
 	e, err := Listen(Settings{
 		Name: "callers", Address: netip.MustParseAddrPort("127.0.0.1:0"), Handler: h, Limits: callerlimit.New(callerlimit.Limits{}),
-		IdleTimeout: time.Minute, ReadHeaderTimeout: time.Minute, Stopping: errStopping, Clock: time.Now, Log: hclog.NewNullLogger(),
+		IdleTimeout: time.Minute, ReadHeaderTimeout: time.Minute, UnusedWait: time.Minute, Stopping: errStopping, Clock: time.Now, Log: hclog.NewNullLogger(),
 	})
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = e.Kill() })
--- a/internal/router/compose.go
+++ b/internal/router/compose.go
@@ -35,7 +35,7 @@
 	record := membership.Record{
 		VM:            s.VM,
 		Incarnation:   r.incarnation,
-		Address:       r.peerAddress,
+		Address:       r.peers.Address(),
 		FailureDomain: s.FailureDomain,
 		Region:        s.Region,
 		Started:       s.Clock(),
--- a/internal/router/endpoint.go
+++ b/internal/router/endpoint.go
@@ -2,34 +2,36 @@
 
 import (
 	"errors"
-	"net"
 	"net/http"
+	"net/netip"
+	"time"
 
 	"example.org/lagoonfork/internal/callerapi"
 	"example.org/lagoonfork/internal/callerlimit"
+	"example.org/lagoonfork/internal/endpoint"
 	"example.org/lagoonfork/internal/guard"
 )
 
+// unusedWait is how long a stopping router waits for the first request on a connection that a caller
+// has opened.
+const unusedWait = 5 * time.Second
+
+// errStopping is the cause of requests that are cut off because the router stops.
+var errStopping = errors.New("the router stops")
+
 // listen opens the sockets and starts the servers, so that the addresses are known.
-func (r *Router) listen() error {
-	callers, err := net.Listen("tcp", r.settings.CallerAddress.String())
-	if err != nil {
+func (r *Router) listen() (err error) {
+	r.callerLimits = callerlimit.New(r.settings.Limits.callers())
+	r.peerLimits = callerlimit.New(r.settings.Limits.VM.Peers())
+	callers := r.endpointSettings("callers", r.settings.CallerAddress, &r.callerHandler, r.callerLimits)
+	callers.Refusal = callerapi.HeadRefusal()
+	callers.UnusedWait = unusedWait
+	if r.callers, err = endpoint.Listen(callers); err != nil {
 		return err
 	}
-	peers, err := net.Listen("tcp", r.settings.PeerAddress.String())
-	if err != nil {
-		return errors.Join(err, callers.Close())
+	if r.peers, err = endpoint.Listen(r.endpointSettings("peers", r.settings.PeerAddress, &r.peerHandler, r.peerLimits)); err != nil {
+		return errors.Join(err, r.callers.Kill())
 	}
-	r.callerAddress = callers.Addr().(*net.TCPAddr).AddrPort()
-	r.peerAddress = peers.Addr().(*net.TCPAddr).AddrPort()
-	r.callerLimits = callerlimit.New(r.settings.Limits.callers())
-	r.peerLimits = callerlimit.New(r.settings.Limits.VM.Peers())
-	callerGuard := guard.New(guard.Settings{Registry: r.callerLimits, Refusal: callerapi.HeadRefusal(), Clock: r.settings.Clock, OnUnanswered: guard.LogUnanswered(r.settings.Log, "callers")})
-	peerGuard := guard.New(guard.Settings{Registry: r.peerLimits, Clock: r.settings.Clock, OnUnanswered: guard.LogUnanswered(r.settings.Log, "peers")})
-	r.callers = r.newServer("callers", &r.callerHandler, callerGuard)
-	r.peers = r.newServer("peers", &r.peerHandler, peerGuard)
-	r.serveListener(r.callers, callerGuard.Listener(callers))
-	r.serveListener(r.peers, peerGuard.Listener(peers))
 	return nil
 }
 
@@ -46,25 +48,13 @@
 	return limits.WithRequest(callerapi.LargestRequest(l.MaxBody) + guard.LargestOverhead(l.MaxHeader))
 }
 
-func (r *Router) newServer(name string, h http.Handler, g *guard.Guard) *http.Server {
-	limits := r.settings.Limits
-	return &http.Server{
-		Handler:           h,
-		ConnContext:       g.ConnContext,
-		ConnState:         g.ConnState,
-		ReadHeaderTimeout: limits.ReadTimeout,
-		ReadTimeout:       limits.ReadTimeout,
-		IdleTimeout:       limits.IdleTimeout,
-		MaxHeaderBytes:    limits.MaxHeader,
-		ErrorLog:          guard.ErrorLog(r.settings.Log, name),
+func (r *Router) endpointSettings(name string, address netip.AddrPort, h http.Handler, limits *callerlimit.Registry) endpoint.Settings {
+	return endpoint.Settings{
+		Name: name, Address: address, Handler: h, Limits: limits,
+		ReadHeaderTimeout: r.settings.Limits.ReadTimeout,
+		ReadTimeout:       r.settings.Limits.ReadTimeout,
+		IdleTimeout:       r.settings.Limits.IdleTimeout,
+		MaxHeaderBytes:    r.settings.Limits.MaxHeader,
+		Stopping:          errStopping, Clock: r.settings.Clock, Log: r.settings.Log,
 	}
 }
-
-func (r *Router) serveListener(s *http.Server, l net.Listener) {
-	r.tomb.Go(func() error {
-		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			return err
-		}
-		return nil
-	})
-}
--- a/internal/router/queries.go
+++ b/internal/router/queries.go
@@ -10,10 +10,10 @@
 )
 
 // CallerAddress returns the address on which the router serves callers.
-func (r *Router) CallerAddress() netip.AddrPort { return r.callerAddress }
+func (r *Router) CallerAddress() netip.AddrPort { return r.callers.Address() }
 
 // PeerAddress returns the address on which the router serves peers.
-func (r *Router) PeerAddress() netip.AddrPort { return r.peerAddress }
+func (r *Router) PeerAddress() netip.AddrPort { return r.peers.Address() }
 
 // Incarnation returns the identifier of this process.
 func (r *Router) Incarnation() ident.Incarnation { return r.incarnation }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -17,7 +17,6 @@
 	"cmp"
 	"context"
 	"errors"
-	"net/http"
 	"net/netip"
 	"sync/atomic"
 	"time"
@@ -30,6 +29,7 @@
 	"example.org/lagoonfork/internal/configwatch"
 	"example.org/lagoonfork/internal/directory"
 	"example.org/lagoonfork/internal/dispatch"
+	"example.org/lagoonfork/internal/endpoint"
 	"example.org/lagoonfork/internal/engineclient"
 	"example.org/lagoonfork/internal/event"
 	"example.org/lagoonfork/internal/issuer"
@@ -113,11 +113,8 @@
 	incarnation ident.Incarnation
 	tomb        tomb.Tomb
 
-	callers *http.Server
-	peers   *http.Server
-	// The addresses in use. Port 0 is replaced by the port that was chosen.
-	callerAddress netip.AddrPort
-	peerAddress   netip.AddrPort
+	callers       *endpoint.Endpoint
+	peers         *endpoint.Endpoint
 	callerLimits  *callerlimit.Registry
 	peerLimits    *callerlimit.Registry
 	callerHandler deferredHandler
@@ -161,7 +158,7 @@
 		return nil, err
 	}
 	if err := r.register(); err != nil {
-		return nil, errors.Join(err, r.callers.Close(), r.peers.Close())
+		return nil, errors.Join(err, r.callers.Kill(), r.peers.Kill())
 	}
 	if err := r.watcher.AwaitFirst(ctx); err != nil {
 		return nil, errors.Join(err, r.abort())
@@ -169,7 +166,7 @@
 	r.build()
 	r.startServing()
 	event.RouterReady.Info(s.Log, "vm", s.VM, "incarnation", r.incarnation,
-		"callers", r.callerAddress, "peers", r.peerAddress, "revision", r.watcher.Revision())
+		"callers", r.callers.Address(), "peers", r.peers.Address(), "revision", r.watcher.Revision())
 	return r, nil
 }
 
@@ -181,7 +178,7 @@
 	event.RouterDraining.Info(r.settings.Log, "vm", r.settings.VM)
 	r.awaitDrainDelay(ctx)
 	err = errors.Join(
-		r.callers.Shutdown(ctx),
+		r.callers.Close(ctx),
 		r.dispatcher.Close(ctx),
 		r.reclaimer.Close(),
 		r.surveyor.Close(),
@@ -192,6 +189,8 @@
 		r.ledger.Close(ctx),
 		r.engines.Close(),
 		r.plain.Close(),
+		r.watcher.Close(), // ends the polls of other routers
+		r.peers.Close(ctx),
 		r.disconnect(),
 	)
 	event.RouterStopped.Info(r.settings.Log, "vm", r.settings.VM, "error", err)
@@ -202,7 +201,7 @@
 // had died. It is for tests; Close still has to be called to free resources.
 func (r *Router) Kill() error {
 	r.draining.Store(true)
-	return errors.Join(r.callers.Close(), r.peers.Close(), r.client.Close())
+	return errors.Join(r.callers.Kill(), r.peers.Kill(), r.client.Close())
 }
 
 // abort releases what was started before the router had a configuration.
@@ -214,8 +213,8 @@
 func (r *Router) disconnect() error {
 	r.tomb.Kill(nil)
 	return errors.Join(
-		r.callers.Close(),
-		r.peers.Close(),
+		r.callers.Kill(),
+		r.peers.Kill(),
 		r.watcher.Close(),
 		r.members.Close(),
 		r.registration.Close(),
