edge: a stopping router responds on new connections

What callers saw: no connection. A stopping router closed its listener after the drain delay of 2.5 s and stayed up to 7 s more for its streams; the platform sends callers to all VMs of a failure domain while fewer than half are ready. Change: the listener is open until no connection is, or the drain timeout passes. A request that ends in time is served, another is refused as not run with a Retry-After.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -159,6 +159,7 @@
 	roster         *roster.Roster
 	queue          *queue.Queue // before the upstreams
 	intake         *intake.Intake
+	callers        *endpoint.Endpoint // nil if there is none
 	endpoints      []*endpoint.Endpoint
 }
 
--- a/internal/edge/endpoint.go
+++ b/internal/edge/endpoint.go
@@ -48,6 +48,9 @@
 			return err
 		}
 		r.endpoints = append(r.endpoints, listening)
+		if e.address == s.CallerAddress {
+			r.callers = listening
+		}
 	}
 	return nil
 }
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -20,8 +20,9 @@
 // Close stops the router. From then on the router is not ready, and leaves the duties
 // that it performs for other routers to the routers that rank next. It accepts requests
 // during the drain delay, and finishes those in progress until the drain timeout passes
-// or ctx ends. Requests that remain then are answered with status 502 or, if they have not been
-// sent to an upstream, 503.
+// or ctx ends. Meanwhile it accepts requests that end in time and refuses others, as the platform
+// may send callers to a router that is not ready. Requests that remain at the end are answered with
+// status 502 or, if they have not been sent to an upstream, 503.
 func (r *Router) Close(ctx context.Context) (err error) {
 	defer func() { err = merry.Prepend(err, "stopping the edge router") }()
 	now := r.settings.Clock()
@@ -41,6 +42,9 @@
 	case <-time.After(r.settings.DrainDelay):
 	case <-ctx.Done():
 	}
+	if r.callers != nil {
+		r.callers.Drain(ctx)
+	}
 	for _, e := range r.endpoints {
 		err = errors.Join(err, e.Close(ctx))
 	}
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -10,7 +10,7 @@
 //
 //	e, err := endpoint.Listen(endpoint.Settings{Name: "callers", Address: address, Handler: h, ...})
 //	...
-//	err = e.StopAccepting() // open connections end once they are idle
+//	e.Drain(ctx) // until no connection is open
 //	err = e.Close(ctx)
 package endpoint
 
@@ -113,6 +113,13 @@
 	return e.listener.Addr().(*net.TCPAddr).AddrPort()
 }
 
+// Drain has each connection end once it is idle, and waits until none is open or ctx ends. Further
+// connections are still accepted, for a request each, so that their callers get a response.
+func (e *Endpoint) Drain(ctx context.Context) {
+	e.guard.Drain(time.Time{})
+	e.awaitConnections(ctx)
+}
+
 // StopAccepting accepts no further connections and has those that are open end once they are idle.
 // Requests that arrive on connections that have not been used yet are still served.
 func (e *Endpoint) StopAccepting() (err error) {
