forward: a caller that has only finished sending gets a response

What callers may see: a caller that closes the sending side of its connection after a whole request (a half-close) gets no byte of a response, only the end of the connection. With HTTP/1.0, one that does so within a stream gets a part that looks whole. Cause: net/http cancels the context of a request when it reads the end of the connection. finishFailed took that for a caller that has left and aborted the connection. In that branch the connection was closed without a reset also where its end ends the response. If the header was written, the response is cut off, with HTTP/1.0 by a reset. The write may take 1 s; the memory, the tokens and the place in the queue are released before it. The request is charged as before if it may have run. The outcome in the log is still callerLeft, with the status.

--- a/internal/forward/finish.go
+++ b/internal/forward/finish.go
@@ -12,8 +12,16 @@
 	"example.org/lagoonfork/pkg/ident"
 )
 
+const (
+	// callerLeft is the outcome of a request whose caller has closed its side of the connection.
+	callerLeft = "callerLeft"
+	// leftWriteTimeout bounds the write of the error response to such a caller, which blocks only
+	// if earlier responses fill the socket's buffer.
+	leftWriteTimeout = time.Second
+)
+
 // finishFailed ends a request whose response was not delivered. It aborts the
-// connection if the caller has left or has a part of the response, forwards a 5xx
+// connection if the caller has a part of the response, forwards a 5xx
 // response of an upstream if there is one, and writes an error response otherwise. The
 // status is 503 if no attempt may have run the request, 504 if it expired, and else 502.
 // The reason is the code of the error response, except that 504 has its own.
@@ -24,16 +32,21 @@
 	if stopping {
 		reason = "stopping"
 	}
+	left := errors.Is(t.ctx.Err(), context.Canceled) && !stopping
 	switch {
 	case t.delivery.end() != endNone:
 		t.endCaller()
-	case errors.Is(t.ctx.Err(), context.Canceled) && !stopping:
-		t.recordEnd(0, "callerLeft", "")
-		panic(http.ErrAbortHandler)
 	case t.headerWritten:
-		t.recordEnd(0, "cutOff", "")
+		outcome := "cutOff"
+		if left {
+			outcome = callerLeft
+		}
+		t.recordEnd(0, outcome, "")
 		t.delivery.cutOff()
 		panic(http.ErrAbortHandler)
+	case left:
+		t.finishLeft()
+		return
 	}
 	t.undelivered = true
 	switch {
@@ -53,6 +66,20 @@
 	WriteError(t.w, status, reason, retryAfter)
 }
 
+// finishLeft ends a request whose caller has closed its side of the connection before a part of
+// the response was written. Whether the caller has left or only finished sending is not known, so
+// that it gets an error response. A request that may have run is charged in both cases.
+func (t *transfer) finishLeft() {
+	status, retryAfter := http.StatusBadGateway, time.Duration(0)
+	if t.runs == 0 {
+		status, retryAfter = http.StatusServiceUnavailable, retryDelay(t.r.Route.LatencyGoal)
+	}
+	t.recordEnd(status, callerLeft, "")
+	t.w.Header().Set("Connection", "close")
+	_ = t.delivery.control.SetWriteDeadline(t.now().Add(leftWriteTimeout)) // not every writer supports deadlines
+	WriteError(t.w, status, callerLeft, retryAfter)
+}
+
 // endCaller aborts the connection to a caller that was ended because it does not read.
 func (t *transfer) endCaller() {
 	t.recordEnd(0, string(t.delivery.end()), "")
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -193,8 +193,8 @@
 	return b.Budget
 }
 
-// Serve forwards the request and writes the response. If the caller leaves during
-// an attempt, or if a partly written response cannot be completed, Serve panics with
+// Serve forwards the request and writes the response. If the caller closes its side of the
+// connection, the run ends. If a partly written response cannot be completed, Serve panics with
 // http.ErrAbortHandler, so that the server closes the connection.
 func (f *Forwarder) Serve(w http.ResponseWriter, h *http.Request, r *Request) {
 	ctx, cancel := context.WithDeadline(h.Context(), r.Expires())
