endpoint: requests cut off at the end of a stop have up to 500 ms for their responses

What callers may see: a request that is in progress at the end of the drain gets no byte of a response, although its handler would have written one. Cause: the responses had 100 ms after the cut, then the server closed all connections. A VM with a seventh of a processor may not run at all for most of that time. Change: CutTimeout is a setting of an endpoint, 100 ms by default. For callers it is 500 ms, or a sixth of a shorter drain timeout. A stop goes on as soon as no connection is open, as before. What the responses take is taken from the time for the return of shares, which ends at DrainTimeout + closeTimeout at the latest. Time of a stop with the defaults, by the constants: the drain ends at 8 s - stopMargin (1.2 s) = 6.8 s; responses until 7.3 s for callers and 7.5 s for the other two endpoints, if each takes its whole bound; shares until 6.8 s + closeTimeout (1 s) = 7.8 s at the latest. Before, these bounds added up to 6.8 + 3 * 0.1 + 1 = 8.1 s, more than the grace of 8 s. TestStopDoesNotWaitForGood guards the bound. Not played on a VM. Result: go test -race ./internal/endpoint ./internal/edge ./platform/front passes.

--- a/internal/edge/defaults.go
+++ b/internal/edge/defaults.go
@@ -108,7 +108,12 @@
 	ledgerMaxCacheAge        = 300 * time.Millisecond
 	walletInterval           = time.Second
 	predecessorRetryInterval = 200 * time.Millisecond
-	closeTimeout             = time.Second
+	// closeTimeout bounds the return of shares to the ledger. It begins at the drain timeout at the
+	// latest, with the responses to requests that are cut off.
+	closeTimeout = time.Second
+	// maxCutTimeout bounds the time for these responses. On a VM with a seventh of a processor, 100 ms
+	// may pass before any of them is written.
+	maxCutTimeout = 500 * time.Millisecond
 	// loanTimeout bounds a call that borrows tokens from another router. Tokens lent
 	// by a response after it are lost.
 	loanTimeout = time.Second
--- a/internal/edge/endpoint.go
+++ b/internal/edge/endpoint.go
@@ -40,7 +40,7 @@
 			Stopping: forward.ErrStopping, Clock: s.Clock, Log: s.Log,
 		}
 		if e.address == s.CallerAddress {
-			settings.Wrap = r.congestion.Listener
+			settings.Wrap, settings.CutTimeout = r.congestion.Listener, cutTimeout(s.DrainTimeout)
 		}
 		listening, err := endpoint.Listen(settings)
 		if err != nil {
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -17,11 +17,18 @@
 	return plan == nil || plan.Accepts(now, end)
 }
 
+// cutTimeout returns the time for the responses to callers whose requests are cut off at the end of
+// the drain. It is part of the time after the drain timeout, which may be short if that is.
+func cutTimeout(drainTimeout time.Duration) time.Duration {
+	return min(maxCutTimeout, drainTimeout/6)
+}
+
 // Close stops the router. From then on the router is not ready, and leaves the duties
 // that it performs for other routers to the routers that rank next. It accepts requests
 // during the drain delay, and finishes those in progress until the drain timeout passes
 // or ctx ends. Requests that remain then are answered with status 502 or, if they have not been
-// sent to an upstream, 503.
+// sent to an upstream, 503. The time that this takes is not available for what follows, so that
+// the stop ends in time.
 func (r *Router) Close(ctx context.Context) (err error) {
 	defer func() { err = merry.Prepend(err, "stopping the edge router") }()
 	now := r.settings.Clock()
@@ -35,6 +42,8 @@
 	deregistered := make(chan error, 1)
 	go func() { deregistered <- r.presence.Close() }()
 	event.EdgeStopping.Info(r.settings.Log, "inFlight", r.intake.InFlight())
+	stop, ended := context.WithTimeout(context.Background(), r.settings.DrainTimeout+closeTimeout)
+	defer ended()
 	ctx, cancel := context.WithTimeout(ctx, r.settings.DrainTimeout)
 	defer cancel()
 	select {
@@ -47,7 +56,7 @@
 	remaining := r.intake.InFlight()
 	r.tomb.Kill(nil)
 	err = errors.Join(err, r.tomb.Wait())
-	closing, done := context.WithTimeout(context.Background(), closeTimeout)
+	closing, done := context.WithTimeout(stop, closeTimeout)
 	defer done()
 	err = errors.Join(err, r.wallet.Close(closing), r.ledger.Close(closing), r.quarantine.Close(), r.crashNews.Close(), r.limitNews.Close(), r.loadExchange.Close(), <-deregistered)
 	for _, m := range r.mirrors() {
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -15,6 +15,7 @@
 package endpoint
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -34,14 +35,14 @@
 	// accepted, and lateWait how long at least after the endpoint has stopped accepting others.
 	unusedWait = 5 * time.Second
 	lateWait   = time.Second
-	// cutTimeout is how long the responses to requests may take that are cut off at the end of a
-	// stop. They are small.
-	cutTimeout = 100 * time.Millisecond
+	// defaultCutTimeout is the CutTimeout by default.
+	defaultCutTimeout = 100 * time.Millisecond
 	// pollInterval is the time between two looks for open connections during a stop.
 	pollInterval = 10 * time.Millisecond
 )
 
-// Settings configures an Endpoint. Wrap, Refusal and the limits that are zero are optional.
+// Settings configures an Endpoint. Wrap, Refusal, CutTimeout and the limits that are zero are
+// optional.
 type Settings struct {
 	Name    string // in the log
 	Address netip.AddrPort
@@ -57,8 +58,11 @@
 	// Stopping is the cause with which the contexts of requests are canceled that have not ended
 	// when the endpoint has to be closed.
 	Stopping error
-	Clock    func() time.Time
-	Log      hclog.Logger
+	// CutTimeout bounds the time from then until their responses have been written. It should allow
+	// for a VM that has little of a processor.
+	CutTimeout time.Duration
+	Clock      func() time.Time
+	Log        hclog.Logger
 }
 
 // Endpoint is an HTTP server on one address. Its methods are safe for concurrent use, but for
@@ -121,12 +125,12 @@
 
 // Close stops accepting, and waits until all connections have ended. The contexts of requests that
 // have not ended when ctx ends are canceled with the cause Stopping, so that their callers get a
-// response. What has not ended soon after that is cut off.
+// response. What has not ended after CutTimeout is cut off.
 func (e *Endpoint) Close(ctx context.Context) (err error) {
 	err = e.StopAccepting()
 	if !e.awaitConnections(ctx) {
 		e.cut(e.settings.Stopping)
-		last, done := context.WithTimeout(context.Background(), cutTimeout)
+		last, done := context.WithTimeout(context.Background(), cmp.Or(e.settings.CutTimeout, defaultCutTimeout))
 		defer done()
 		e.awaitConnections(last)
 	}
--- a/internal/endpoint/endpoint_test.go
+++ b/internal/endpoint/endpoint_test.go
@@ -26,10 +26,13 @@
 
 var errStopping = errors.New("stopping")
 
-func listen(t *testing.T, h http.HandlerFunc) *Endpoint {
+func listen(t *testing.T, h http.HandlerFunc) *Endpoint { return listenWith(t, h, 0) }
+
+// listenWith listens with the given CutTimeout.
+func listenWith(t *testing.T, h http.HandlerFunc, cutTimeout time.Duration) *Endpoint {
 	e, err := Listen(Settings{
 		Name: "callers", Address: netip.MustParseAddrPort("127.0.0.1:0"), Handler: h, Limits: callerlimit.New(callerlimit.Limits{}),
-		IdleTimeout: time.Minute, ReadHeaderTimeout: time.Minute, Stopping: errStopping, Clock: time.Now, Log: hclog.NewNullLogger(),
+		IdleTimeout: time.Minute, ReadHeaderTimeout: time.Minute, Stopping: errStopping, CutTimeout: cutTimeout, Clock: time.Now, Log: hclog.NewNullLogger(),
 	})
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = e.Kill() })
@@ -157,6 +160,51 @@
 	assert.Equal(t, http.StatusBadGateway, status)
 }
 
+// TestRequestsThatAreCutOffLateGetAResponse guards against requests that are in progress at the end of
+// a stop and get no response because the VM is slow: it takes some time until the last one is written.
+func TestRequestsThatAreCutOffLateGetAResponse(t *testing.T) {
+	const requests = 50
+	running := make(chan struct{}, requests)
+	e := listenWith(t, func(w http.ResponseWriter, r *http.Request) {
+		running <- struct{}{}
+		<-r.Context().Done()
+		time.Sleep(2 * defaultCutTimeout)
+		w.WriteHeader(http.StatusBadGateway)
+	}, time.Minute)
+	var all []*caller
+	for range requests {
+		c := dial(t, e)
+		c.send(start + rest)
+		<-running
+		all = append(all, c)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	assert.NoError(t, e.Close(ctx))
+	for _, c := range all {
+		status, _ := c.receive()
+		assert.Equal(t, http.StatusBadGateway, status)
+	}
+}
+
+// TestStopDoesNotWaitForGood guards against a stop that waits for a request that does not end.
+func TestStopDoesNotWaitForGood(t *testing.T) {
+	running, release := make(chan struct{}), make(chan struct{})
+	defer close(release)
+	e := listenWith(t, func(http.ResponseWriter, *http.Request) {
+		close(running)
+		<-release
+	}, time.Millisecond)
+	c := dial(t, e)
+	c.send(start + rest)
+	<-running
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	assert.NoError(t, e.Close(ctx))
+	_, err := c.responses.ReadByte()
+	assert.Error(t, err, "the connection is closed")
+}
+
 // TestStopEndsIdleConnections guards against a stop that waits for callers that send nothing.
 func TestStopEndsIdleConnections(t *testing.T) {
 	e := listen(t, whole)
