callerapi: a caller that has only finished sending is not told that its deadline passed

What callers may see: a caller that closes the sending side of its connection after a whole request gets 504 deadlineExceeded at once, although no time limit has passed. Cause: the end of the wait for an answer was taken for the deadline, whichever ended it. Change: the new code callerLeft, 502, says that the caller closed its side of the connection before the answer was complete; notRun is false. As before, a run without a key ends, and one with a key goes on. The write of both responses is bounded by the write timeout. A run that was billed up to the moment at which its caller left ends with the same code in the log and the figures, in place of deadlineExceeded. Result: go test ./internal/embedded ./internal/callerapi ./internal/refusal passes.

--- a/internal/callerapi/callerapi.go
+++ b/internal/callerapi/callerapi.go
@@ -328,14 +328,18 @@
 	_ = http.NewResponseController(w).SetWriteDeadline(deadline) // supported by net/http
 }
 
-// deadlineRefusal returns the refusal of a request whose deadline passed or whose
-// caller disconnected.
-func deadlineRefusal(request *dispatch.Request) *refusal.Refusal {
-	message := "the deadline has passed"
+// unfinishedRefusal returns the refusal of a request whose answer was not complete when ctx ended,
+// by its deadline or because the caller closed its side of the connection. Whether the caller has
+// left or only finished sending is not known.
+func unfinishedRefusal(ctx context.Context, request *dispatch.Request) *refusal.Refusal {
+	code, message := refusal.DeadlineExceeded, "the deadline has passed"
+	if errors.Is(ctx.Err(), context.Canceled) {
+		code, message = refusal.CallerLeft, "the caller closed its side of the connection before the answer was complete"
+	}
 	if request.Keyed {
 		message += "; the request goes on, and its answer can be fetched with the same key"
 	}
-	return refusal.NewMayHaveRun(refusal.DeadlineExceeded, "%s", message).WithRetryAfter(time.Second)
+	return refusal.NewMayHaveRun(code, "%s", message).WithRetryAfter(time.Second)
 }
 
 func writeJSON(w http.ResponseWriter, status int, body any) {
--- a/internal/callerapi/chat.go
+++ b/internal/callerapi/chat.go
@@ -89,7 +89,8 @@
 	for read := 0; ; {
 		pieces, end, err := s.Answer.Read(ctx, read)
 		if err != nil {
-			deadlineRefusal(r.request).Write(w, r.request.ID)
+			r.handler.extendWriteDeadline(w)
+			unfinishedRefusal(ctx, r.request).Write(w, r.request.ID)
 			return
 		}
 		for _, piece := range pieces {
@@ -130,7 +131,8 @@
 	for read := 0; ; {
 		pieces, end, err := s.Answer.Read(ctx, read)
 		if err != nil {
-			out.writeError(deadlineRefusal(r.request), r.request.ID)
+			r.handler.extendWriteDeadline(w)
+			out.writeError(unfinishedRefusal(ctx, r.request), r.request.ID)
 			return
 		}
 		for i, piece := range pieces {
--- a/internal/callerapi/plain.go
+++ b/internal/callerapi/plain.go
@@ -24,7 +24,8 @@
 		_, end, err := s.Answer.Read(ctx, 0)
 		switch {
 		case err != nil:
-			deadlineRefusal(request).Write(w, request.ID)
+			h.extendWriteDeadline(w)
+			unfinishedRefusal(ctx, request).Write(w, request.ID)
 		case end.Refusal != nil:
 			end.Refusal.Write(w, request.ID)
 		default:
--- a/internal/dispatch/claim.go
+++ b/internal/dispatch/claim.go
@@ -300,5 +300,5 @@
 	bill.Ended = x.d.Clock()
 	x.pushBill(bill)
 	x.record("abandoned", fmt.Sprintf("caller left after %d tokens: %v", x.position, context.Cause(ctx)))
-	return refusalEnd(refusal.NewMayHaveRun(refusal.DeadlineExceeded, "the caller left"))
+	return refusalEnd(refusal.NewMayHaveRun(refusal.CallerLeft, "the caller left"))
 }
--- a/internal/embedded/input_test.go
+++ b/internal/embedded/input_test.go
@@ -1,6 +1,7 @@
 package embedded
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -153,6 +154,41 @@
 	}
 }
 
+// TestCallerThatHasFinishedSendingLearnsThatTheRunEnded guards against a caller that is told that its
+// deadline has passed because it closed the sending side of its connection after a whole request.
+func TestCallerThatHasFinishedSendingLearnsThatTheRunEnded(t *testing.T) {
+	d := start(t, 1, func(s *Settings) { s.Engine.TokenInterval = time.Hour })
+	t.Cleanup(func() { // ends the run with the key
+		for _, e := range d.Engines {
+			e.Crash()
+		}
+	})
+	const chat, message = "/v1/chat/completions", `"messages":[{"role":"user","content":"a"}]`
+	for name, tt := range map[string]struct{ header, body, text string }{
+		"whole":    {"", `{"model":"test-model",` + message + `}`, "complete"},
+		"stream":   {"", `{"model":"test-model","stream":true,` + message + `}`, "complete"},
+		"with key": {"Idempotency-Key: k\r\n", `{"model":"test-model",` + message + `}`, "with the same key"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c, err := net.Dial("tcp", d.Routers[0].CallerAddress().String())
+			require.NoError(t, err)
+			defer func() { _ = c.Close() }()
+			require.NoError(t, c.SetDeadline(time.Now().Add(waitTimeout)))
+			_, err = fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer %s\r\n%sContent-Length: %d\r\n\r\n%s", chat, testAPIKey, tt.header, len(tt.body), tt.body)
+			require.NoError(t, err)
+			require.NoError(t, c.(*net.TCPConn).CloseWrite())
+			response, err := http.ReadResponse(bufio.NewReader(c), nil)
+			require.NoError(t, err)
+			body, err := io.ReadAll(response.Body)
+			require.NoError(t, err)
+			assert.Equal(t, http.StatusBadGateway, response.StatusCode)
+			assert.Contains(t, string(body), `"code":"callerLeft"`)
+			assert.Contains(t, string(body), `"notRun":false`)
+			assert.Contains(t, string(body), tt.text)
+		})
+	}
+}
+
 // TestLongStreamOutlastsTheTimeouts checks that a completion may take longer than
 // the read, write and idle timeouts, which limit the sending of a request and
 // each write of the response but not the whole exchange.
--- a/internal/refusal/refusal.go
+++ b/internal/refusal/refusal.go
@@ -51,6 +51,7 @@
 	UpstreamFailed       Code = "upstreamFailed"
 	OutcomeUnknown       Code = "outcomeUnknown"
 	DeadlineExceeded     Code = "deadlineExceeded"
+	CallerLeft           Code = "callerLeft"
 	Superseded           Code = "superseded"
 	AnswerNotHeld        Code = "answerNotHeld"
 	BillPending          Code = "billPending"
@@ -76,6 +77,7 @@
 	UpstreamFailed:       http.StatusBadGateway,
 	OutcomeUnknown:       http.StatusBadGateway,
 	DeadlineExceeded:     http.StatusGatewayTimeout,
+	CallerLeft:           http.StatusBadGateway,
 	Superseded:           http.StatusConflict,
 	AnswerNotHeld:        http.StatusConflict,
 	BillPending:          http.StatusServiceUnavailable,
