--- a/internal/edge/endpoint.go
+++ b/internal/edge/endpoint.go
@@ -42,6 +42,7 @@
 		if e.address == s.CallerAddress {
 			settings.Wrap = r.congestion.Listener
 			settings.UnusedWait = unusedWait
+			settings.CutTimeout = cutTimeout(s.DrainTimeout)
 		}
 		listening, err := endpoint.Listen(settings)
 		if err != nil {
