guard: a request that waits in the socket is not cut off by the end of its idle connection

Cause: a connection ends by a read deadline in the past. net reads nothing from the socket once the deadline has passed, whether the reader is about to read or waits already. A request that has arrived but has not been read is discarded, and the close resets the connection.

Evidence: a request is written to an idle connection, then StopAccepting is called.

Change: a read that was ended in this way is repeated once, for 20 ms, before the connection closes.

--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -50,6 +50,8 @@
 	chunkedBytes = 4 << 10 * byteFactor
 	// refusalTimeout bounds the time to write a refusal, which fits into the socket's buffer.
 	refusalTimeout = 100 * time.Millisecond
+	// lookTimeout bounds the last read of a connection that ends. It returns at once what has arrived.
+	lookTimeout = 20 * time.Millisecond
 )
 
 // LargestOverhead returns the memory that a request takes at most beside its body if its head has the
@@ -212,6 +214,7 @@
 	inUse    bool // bytes of a request have been read since the connection was idle
 	whole    bool // all of that request has been read
 	ending   bool // closed as soon as it is not in use
+	looked   bool // the last read before that has begun
 	givenUp  bool // to make room for others
 	closed   bool
 	deadline time.Time // that the server has set for reads
@@ -253,11 +256,32 @@
 // end has the reader close the connection as soon as it is not in use. c.mu must be held.
 func (c *conn) end() {
 	c.ending = true
-	if !c.inUse {
+	if !c.inUse && !c.looked {
 		_ = c.Conn.SetReadDeadline(past) // fails only if the connection is closed
 	}
 }
 
+// lookAgain reports whether a read that was ended should be repeated, once: a deadline that has passed
+// ends a read although bytes wait in the socket.
+func (c *conn) lookAgain() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.ending || c.inUse || c.looked {
+		return false
+	}
+	c.looked = true
+	return c.Conn.SetReadDeadline(c.guard.settings.Clock().Add(lookTimeout)) == nil
+}
+
+// receive reads from the network.
+func (c *conn) receive(b []byte) (n int, err error) {
+	n, err = c.Conn.Read(b)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.lookAgain() {
+		return c.Conn.Read(b)
+	}
+	return n, err
+}
+
 // giveUp ends the connection to make room for others, or reports false if a request has arrived
 // that the phase does not show yet. A request that arrives meanwhile is refused.
 func (c *conn) giveUp(p callerlimit.Phase) bool {
@@ -326,7 +350,7 @@
 	if len(c.pending) > 0 {
 		n = copy(b, c.pending)
 		c.pending = c.pending[n:]
-	} else if n, err = c.Conn.Read(b); n == 0 {
+	} else if n, err = c.receive(b); n == 0 {
 		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed) {
 			c.callerClosed.Store(true)
 		}
@@ -426,7 +450,7 @@
 	draining := c.guard.isDraining()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.inUse, c.whole = c.owed > 0 || len(c.pending) > 0, false
+	c.inUse, c.whole, c.looked = c.owed > 0 || len(c.pending) > 0, false, false
 	if draining || c.ending {
 		c.end()
 	}
