endpoint: a connection that is being accepted is not cut off by a stop

Cause: Close closes the listener and looks once for open connections. One that Accept has returned, but that the guard does not count yet, is missed. Kill then has the server discard its request.

Evidence: TestStopServesAConnectionThatIsBeingAccepted, whose listener holds a connection after Accept, got a reset instead of a response.

Change: Close waits, within the same bounds, until no connection is being accepted before it looks.

Result: the test passes.

--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -133,11 +133,11 @@
 // response. What has not ended soon after that is cut off.
 func (e *Endpoint) Close(ctx context.Context) (err error) {
 	err = e.StopAccepting()
-	if !e.awaitConnections(ctx) {
+	if !e.awaitEnd(ctx) {
 		e.cut(e.settings.Stopping)
 		last, done := context.WithTimeout(context.Background(), cutTimeout)
 		defer done()
-		e.awaitConnections(last)
+		e.awaitEnd(last)
 	}
 	return errors.Join(err, e.Kill())
 }
@@ -158,6 +158,17 @@
 	return err
 }
 
+// awaitEnd waits until no connection is being accepted any more and none is open. It reports false if
+// ctx ends before.
+func (e *Endpoint) awaitEnd(ctx context.Context) bool {
+	select {
+	case <-e.served: // from now on the guard knows all connections
+		return e.awaitConnections(ctx)
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // awaitConnections waits until no connection is open and reports true, or false if ctx ends before.
 func (e *Endpoint) awaitConnections(ctx context.Context) bool {
 	accepting := e.settings.Clock()
--- a/internal/endpoint/unread_test.go
+++ b/internal/endpoint/unread_test.go
@@ -1,12 +1,17 @@
 package endpoint
 
 import (
+	"net"
 	"net/http"
+	"net/netip"
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"example.org/lagoonfork/internal/callerlimit"
 )
 
 // TestStopServesARequestThatWaitsInTheSocket guards against a request that is cut off because it has
@@ -30,3 +35,43 @@
 	}
 	assert.Zero(t, cut)
 }
+
+// TestStopServesAConnectionThatIsBeingAccepted guards against a request that is cut off because a
+// stop found no connection open while one was being accepted.
+func TestStopServesAConnectionThatIsBeingAccepted(t *testing.T) {
+	accepted, release := make(chan struct{}, 1), make(chan struct{})
+	e, err := Listen(Settings{
+		Name: "callers", Address: netip.MustParseAddrPort("127.0.0.1:0"), Handler: http.HandlerFunc(whole), Limits: callerlimit.New(callerlimit.Limits{}),
+		Wrap:       func(l net.Listener) net.Listener { return slowListener{l, accepted, release} },
+		UnusedWait: time.Minute, Stopping: errStopping, Clock: time.Now, Log: hclog.NewNullLogger(),
+	})
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = e.Kill() })
+	c := dial(t, e)
+	c.send(start + rest)
+	<-accepted
+	closed := closing(t.Context(), e)
+	time.Sleep(50 * time.Millisecond) // the stop has begun
+	close(release)
+	status, body := c.receive()
+	assert.Equal(t, http.StatusOK, status)
+	assert.Equal(t, "whole", body)
+	assert.NoError(t, <-closed)
+}
+
+// slowListener is a listener whose Accept returns connections only after release is closed.
+type slowListener struct {
+	net.Listener
+	accepted chan struct{}
+	release  chan struct{}
+}
+
+// Accept implements net.Listener.
+func (l slowListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err == nil {
+		l.accepted <- struct{}{}
+		<-l.release
+	}
+	return c, err
+}
