guard: a request whose head has ended is not given up as one with an unfinished head

Cause: a head that ends is given up between its read and its count, because the phase is still Receiving and the body has not been read. The body may have come with the same bytes, so that a whole request gets neither a response nor a refusal. A connection that waits or uploads is spared in that moment.

Evidence: TestHeadThatHasEndedIsNotGivenUp failed.

Change: it is spared; its next phase is Uploading.

Result: guard and callerlimit pass with the race detector.

--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -288,7 +288,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
-	case c.whole, p == callerlimit.Waiting && c.inUse:
+	case c.whole, p == callerlimit.Waiting && c.inUse, p == callerlimit.Receiving && c.scanner.Part() == requestframe.Body:
 		return false
 	case c.inUse:
 		c.closed = true
--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -299,6 +299,23 @@
 	assert.True(t, ok, "it is open")
 }
 
+// TestHeadThatHasEndedIsNotGivenUp guards against a request whose connection is closed as one with an
+// unfinished head, because the end of the head has been read, with the body, but not counted.
+func TestHeadThatHasEndedIsNotGivenUp(t *testing.T) {
+	r := callerlimit.New(callerlimit.Limits{})
+	c, far := newConn(t, r, func(*conn) {})
+	go func() { _, _ = io.WriteString(far, "POST / HTTP/1.1\r\n") }()
+	_, err := c.Read(make([]byte, 100))
+	require.NoError(t, err)
+	rest := []byte("Host: h\r\nContent-Length: 1\r\n\r\na")
+	_, taken, ok := c.advance(rest)
+	require.True(t, ok)
+	require.Equal(t, len(rest)-1, taken, "the body waits")
+	assert.False(t, c.giveUp(callerlimit.Receiving))
+	_, _, ok = c.advance(nil)
+	assert.True(t, ok, "it is open")
+}
+
 // TestDrainKeepsUnusedConnections guards against callers that have just opened a connection, and
 // whose request is on its way, losing it when a router stops.
 func TestDrainKeepsUnusedConnections(t *testing.T) {
