endpoint: responses during a stop announce the end of the connection

Cause: without SetKeepAlivesEnabled and Shutdown, net/http does not send Connection: close any more, but the connection ends after the response. A caller that reuses it sends a request that crosses the end.

Evidence: TestResponsesDuringAStopAnnounceTheEndOfTheConnection failed.

Change: an endpoint that drains sets the header when the response begins, so also for requests that were in progress. Handlers reach the writer below by http.ResponseController, as all of them do.

--- a/internal/endpoint/unread_test.go
+++ b/internal/endpoint/crossing_test.go
@@ -14,6 +14,27 @@
 	"example.org/lagoonfork/internal/callerlimit"
 )
 
+// TestResponsesDuringAStopAnnounceTheEndOfTheConnection guards against a caller that sends its next
+// request on a connection of which it cannot know that the router ends it after the response.
+func TestResponsesDuringAStopAnnounceTheEndOfTheConnection(t *testing.T) {
+	running, release := make(chan struct{}), make(chan struct{})
+	e := listen(t, func(w http.ResponseWriter, r *http.Request) {
+		close(running)
+		<-release
+		whole(w, r)
+	})
+	c := dial(t, e)
+	c.send(start + rest)
+	<-running
+	closed := closing(t.Context(), e)
+	time.Sleep(50 * time.Millisecond) // the stop has begun
+	close(release)
+	response, err := http.ReadResponse(c.responses, nil)
+	require.NoError(t, err)
+	assert.True(t, response.Close)
+	assert.NoError(t, <-closed)
+}
+
 // TestStopServesARequestThatWaitsInTheSocket guards against a request that is cut off because it has
 // arrived, but has not been read, when idle connections are ended: a VM may lack processor time.
 func TestStopServesARequestThatWaitsInTheSocket(t *testing.T) {
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -87,7 +87,7 @@
 	e = &Endpoint{
 		settings: s, listener: l, guard: g, cut: cut, served: make(chan struct{}),
 		server: &http.Server{
-			Handler:           s.Handler,
+			Handler:           announceEnd(s.Handler, g.Draining),
 			ConnContext:       g.ConnContext,
 			ConnState:         g.ConnState,
 			BaseContext:       func(net.Listener) context.Context { return ctx },
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -129,7 +129,8 @@
 	delete(g.connections, c)
 }
 
-func (g *Guard) isDraining() bool {
+// Draining reports whether connections end once they are idle.
+func (g *Guard) Draining() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.draining
@@ -447,7 +448,7 @@
 // becomeIdle records that the connection waits for the next request, unless a part of it has
 // arrived.
 func (c *conn) becomeIdle() {
-	draining := c.guard.isDraining()
+	draining := c.guard.Draining()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.inUse, c.whole, c.looked = c.owed > 0 || len(c.pending) > 0, false, false
