--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -90,7 +90,7 @@
 	e = &Endpoint{
 		settings: s, listener: l, guard: g, cut: cut, served: make(chan struct{}),
 		server: &http.Server{
-			Handler:           s.Handler,
+			Handler:           announceEnd(s.Handler, g.Draining),
 			ConnContext:       g.ConnContext,
 			ConnState:         g.ConnState,
 			BaseContext:       func(net.Listener) context.Context { return ctx },
@@ -136,12 +136,12 @@
 // response. What has not ended after CutTimeout is cut off.
 func (e *Endpoint) Close(ctx context.Context) (err error) {
 	err = e.StopAccepting()
-	if !e.awaitConnections(ctx) {
+	if !e.awaitEnd(ctx) {
 		e.cut(e.settings.Stopping)
 		e.guard.Drain(e.settings.Clock())
 		last, done := context.WithTimeout(context.Background(), cmp.Or(e.settings.CutTimeout, defaultCutTimeout))
 		defer done()
-		e.awaitConnections(last)
+		e.awaitEnd(last)
 	}
 	return errors.Join(err, e.Kill())
 }
@@ -162,6 +162,17 @@
 	return err
 }
 
+// awaitEnd waits until no connection is being accepted any more and none is open. It reports false if
+// ctx ends before.
+func (e *Endpoint) awaitEnd(ctx context.Context) bool {
+	select {
+	case <-e.served: // from now on the guard knows all connections
+		return e.awaitConnections(ctx)
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // awaitConnections waits until no connection is open and reports true, or false if ctx ends before.
 func (e *Endpoint) awaitConnections(ctx context.Context) bool {
 	accepting := e.settings.Clock()
