guard: an empty line is not the beginning of a request

Cause: a stop waits for the rest of a request that has begun to arrive. The empty line that some clients send after a body counted as one, and held up the stop until the idle timeout. Change: a connection is in use once a line of a head that is not empty has begun.

--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -327,14 +327,15 @@
 func (c *conn) advance(b []byte) (part requestframe.Part, taken int, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.inUse {
+	part = c.scanner.Part()
+	taken = c.scanner.Advance(b)
+	begun := part == requestframe.Body || c.scanner.Started() || c.scanner.Complete() // not with an empty line
+	if begun && !c.inUse {
 		c.used, c.inUse = true, true
 		if c.ending {
 			_ = c.Conn.SetReadDeadline(c.deadline) // fails only if the connection is closed
 		}
 	}
-	part = c.scanner.Part()
-	taken = c.scanner.Advance(b)
 	if !c.busy || part == requestframe.Body {
 		c.whole = c.scanner.Part() == requestframe.Head && (part == requestframe.Body || c.scanner.Complete())
 	}
