router: a stop leaves time to return the shares

What operators saw: shares that are not returned when a stop lasts as long as it may. The endpoint for callers could take all of the time, and the shares were returned with the same context, which had ended; so it was before with a request that lasts as long. Change: callers and runs have until 5 s before the end, or three quarters of a shorter stop. Evidence: TestCallerThatHoldsUpAStopKeepsNoShares/head fails on the commit before (closing shares: context deadline exceeded).

--- a/internal/embedded/hold_test.go
+++ b/internal/embedded/hold_test.go
@@ -14,8 +14,14 @@
 )
 
 // TestCallerThatHoldsUpAStopKeepsNoShares guards against shares that a stop does not return because a
-// caller sent only a part of its next request, here the empty line that some send after a body.
+// caller sent only a part of its next request, or the empty line that some send after a body.
 func TestCallerThatHoldsUpAStopKeepsNoShares(t *testing.T) {
+	for name, part := range map[string]string{"empty line": "\r\n", "head": "GET / HTTP/1.1\r\n"} {
+		t.Run(name, func(t *testing.T) { testStopHeldUpBy(t, part) })
+	}
+}
+
+func testStopHeldUpBy(t *testing.T, part string) {
 	d := start(t, 2, func(*Settings) {})
 	router := d.Routers[0]
 	ctx, cancel := context.WithTimeout(t.Context(), waitTimeout)
@@ -30,7 +36,7 @@
 	require.NoError(t, err)
 	_, err = http.ReadResponse(bufio.NewReader(c), nil)
 	require.NoError(t, err)
-	_, err = io.WriteString(c, "\r\n")
+	_, err = io.WriteString(c, part)
 	require.NoError(t, err)
 	time.Sleep(50 * time.Millisecond) // long enough to be read; else the test shows nothing
 	closing, done := context.WithTimeout(t.Context(), 2*time.Second)
--- a/internal/router/defaults.go
+++ b/internal/router/defaults.go
@@ -7,6 +7,9 @@
 	journalSize = 10_000
 	// maxNotices bounds the queue of notices to standby holders.
 	maxNotices = 256
+	// closeReserve is the time kept at the end of a stop for the return of shares, or a quarter of a
+	// shorter stop.
+	closeReserve = 5 * time.Second
 
 	defaultLeaseTTL   = 10 * time.Second
 	defaultSurvey     = time.Second
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -170,16 +170,18 @@
 	return r, nil
 }
 
-// Close drains the router. When ctx ends, requests still in progress are cut off. The
-// error joins those of all components.
+// Close drains the router. Requests still in progress are cut off a little before ctx ends, so that
+// time is left to return the shares. The error joins those of all components.
 func (r *Router) Close(ctx context.Context) (err error) {
 	defer func() { err = merry.Prependf(err, "stopping the router of VM %s", r.settings.VM) }()
 	r.draining.Store(true)
 	event.RouterDraining.Info(r.settings.Log, "vm", r.settings.VM)
-	r.awaitDrainDelay(ctx)
+	drain, done := withoutReserve(ctx, r.settings.Clock())
+	defer done()
+	r.awaitDrainDelay(drain)
 	err = errors.Join(
-		r.callers.Close(ctx),
-		r.dispatcher.Close(ctx),
+		r.callers.Close(drain),
+		r.dispatcher.Close(drain),
 		r.reclaimer.Close(),
 		r.surveyor.Close(),
 		r.issuer.Close(),
@@ -190,13 +192,22 @@
 		r.engines.Close(),
 		r.plain.Close(),
 		r.watcher.Close(), // ends the polls of other routers
-		r.peers.Close(ctx),
+		r.peers.Close(drain),
 		r.disconnect(),
 	)
 	event.RouterStopped.Info(r.settings.Log, "vm", r.settings.VM, "error", err)
 	return err
 }
 
+// withoutReserve returns a context that ends before ctx.
+func withoutReserve(ctx context.Context, now time.Time) (context.Context, context.CancelFunc) {
+	end, ok := ctx.Deadline()
+	if !ok {
+		return context.WithCancel(ctx)
+	}
+	return context.WithDeadline(ctx, end.Add(-min(closeReserve, end.Sub(now)/4)))
+}
+
 // Kill closes all connections at once without finishing anything, as if the process
 // had died. It is for tests; Close still has to be called to free resources.
 func (r *Router) Kill() error {
