endpoint: a drain ends while callers keep opening connections

Cause: the drain waited until no connection was open. Change: it waits for the connections that were open when it began. Those that are accepted meanwhile are served, and waited for by Close. Evidence: TestDrainEndsWhileCallersKeepComing does not end with the wait before.

--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -10,7 +10,7 @@
 //
 //	e, err := endpoint.Listen(endpoint.Settings{Name: "callers", Address: address, Handler: h, ...})
 //	...
-//	e.Drain(ctx) // until no connection is open
+//	e.Drain(ctx) // until the connections that are open have ended
 //	err = e.Close(ctx)
 package endpoint
 
@@ -116,11 +116,12 @@
 	return e.listener.Addr().(*net.TCPAddr).AddrPort()
 }
 
-// Drain has each connection end once it is idle, and waits until none is open or ctx ends. Further
-// connections are still accepted, for a request each, so that their callers get a response.
+// Drain has each connection end once it is idle, and waits until those that are open have ended or
+// ctx ends. Further connections are still accepted, for a request each, so that their callers get a
+// response.
 func (e *Endpoint) Drain(ctx context.Context) {
 	e.guard.Drain(time.Time{})
-	e.awaitConnections(ctx)
+	e.awaitConnections(ctx, e.settings.Clock())
 }
 
 // StopAccepting accepts no further connections and has those that are open end once they are idle.
@@ -167,24 +168,25 @@
 func (e *Endpoint) awaitEnd(ctx context.Context) bool {
 	select {
 	case <-e.served: // from now on the guard knows all connections
-		return e.awaitConnections(ctx)
+		return e.awaitConnections(ctx, e.settings.Clock())
 	case <-ctx.Done():
 		return false
 	}
 }
 
-// awaitConnections waits until no connection is open and reports true, or false if ctx ends before.
-func (e *Endpoint) awaitConnections(ctx context.Context) bool {
-	accepting := e.settings.Clock()
+// awaitConnections waits until no connection is open that was accepted until the given time and
+// reports true, or false if ctx ends before.
+func (e *Endpoint) awaitConnections(ctx context.Context, until time.Time) bool {
+	began := e.settings.Clock()
 	poll := time.NewTicker(pollInterval)
 	defer poll.Stop()
-	for e.guard.Connections() > 0 {
+	for e.guard.Connections(until) > 0 {
 		select {
 		case <-poll.C:
 		case <-ctx.Done():
 			return false
 		}
-		if now := e.settings.Clock(); now.Sub(accepting) >= min(lateWait, e.settings.UnusedWait) {
+		if now := e.settings.Clock(); now.Sub(began) >= min(lateWait, e.settings.UnusedWait) {
 			e.guard.Drain(now.Add(-e.settings.UnusedWait))
 		}
 	}
--- a/internal/endpoint/endpoint_test.go
+++ b/internal/endpoint/endpoint_test.go
@@ -227,7 +227,7 @@
 func TestUnusedConnectionsAreServedOnce(t *testing.T) {
 	e := listen(t, whole)
 	c := dial(t, e)
-	require.Eventually(t, func() bool { return e.guard.Connections() == 1 }, time.Minute, time.Millisecond)
+	require.Eventually(t, func() bool { return e.guard.Connections(time.Now()) == 1 }, time.Minute, time.Millisecond)
 	closed := closing(t.Context(), e)
 	assert.Never(t, func() bool { return len(closed) > 0 }, 50*time.Millisecond, time.Millisecond, "a request may be on its way")
 	c.send(start + rest)
@@ -249,3 +249,40 @@
 	_, err := c.responses.ReadByte()
 	assert.ErrorIs(t, err, io.EOF)
 }
+
+// TestDrainEndsWhileCallersKeepComing guards against a stop that lasts as long as it may because
+// callers open connections all the time.
+func TestDrainEndsWhileCallersKeepComing(t *testing.T) {
+	running, release := make(chan struct{}, 1), make(chan struct{})
+	e := listen(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost {
+			running <- struct{}{}
+			<-release
+		}
+		whole(w, r)
+	})
+	c := dial(t, e)
+	c.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n")
+	<-running
+	drained := make(chan struct{})
+	go func() {
+		e.Drain(t.Context())
+		close(drained)
+	}()
+	require.Eventually(t, e.guard.Draining, time.Minute, time.Millisecond)
+	for range 3 {
+		other := dial(t, e)
+		other.send(start + rest)
+		status, _ := other.receive()
+		assert.Equal(t, http.StatusOK, status)
+	}
+	held := dial(t, e) // stays open
+	held.send(start)
+	select {
+	case <-drained:
+		t.Error("a request is in progress")
+	default:
+	}
+	close(release)
+	<-drained
+}
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -94,11 +94,16 @@
 	return &Guard{settings: s, connections: make(map[*conn]struct{})}
 }
 
-// Connections returns the number of open connections.
-func (g *Guard) Connections() int {
+// Connections returns the number of open connections that were accepted until the given time.
+func (g *Guard) Connections(until time.Time) (n int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return len(g.connections)
+	for c := range g.connections {
+		if !c.accepted.After(until) {
+			n++
+		}
+	}
+	return n
 }
 
 // Drain ends connections that wait for a request, and from then on each that has been used once it
