guard, endpoint: connections that have not been used are kept like idle ones

What callers saw: a connection that was opened ahead, as clients with a pool do, was closed 10 s later; a request that was sent just then got no response. Cause: net/http counts ReadHeaderTimeout of the first head from the start of the connection, whether anything of the head has arrived or not. Clients use connections that have been idle for up to 12 s (four fifths of idleTimeoutMs). Change: the guard sets the deadlines of heads and of idle connections. The time of a head begins with its first byte, and for one that was sent ahead with the end of the request before it; that of an idle connection includes the time before its first request. TestUploadThatHasEndedIsNotGivenUp has the new argument of advance.

--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -51,6 +51,8 @@
 	Limits  *callerlimit.Registry
 	Refusal []byte // see guard.Settings
 
+	// ReadHeaderTimeout begins with the first byte of a head. IdleTimeout also bounds the time until
+	// the first request of a connection.
 	ReadHeaderTimeout, ReadTimeout, IdleTimeout time.Duration
 	MaxHeaderBytes                              int
 
@@ -80,20 +82,23 @@
 	if err != nil {
 		return nil, err
 	}
-	g := guard.New(guard.Settings{Registry: s.Limits, Refusal: s.Refusal, Clock: s.Clock, OnUnanswered: guard.LogUnanswered(s.Log, s.Name)})
+	g := guard.New(guard.Settings{
+		Registry: s.Limits, Refusal: s.Refusal, Limits: s.limits, Clock: s.Clock, OnUnanswered: guard.LogUnanswered(s.Log, s.Name),
+	})
 	ctx, cut := context.WithCancelCause(context.Background())
 	e = &Endpoint{
 		settings: s, listener: l, guard: g, cut: cut, served: make(chan struct{}),
 		server: &http.Server{
-			Handler:           s.Handler,
-			ConnContext:       g.ConnContext,
-			ConnState:         g.ConnState,
-			BaseContext:       func(net.Listener) context.Context { return ctx },
-			ReadHeaderTimeout: s.ReadHeaderTimeout,
-			ReadTimeout:       s.ReadTimeout,
-			IdleTimeout:       s.IdleTimeout,
-			MaxHeaderBytes:    s.MaxHeaderBytes,
-			ErrorLog:          guard.ErrorLog(s.Log, s.Name),
+			Handler:     s.Handler,
+			ConnContext: g.ConnContext,
+			ConnState:   g.ConnState,
+			BaseContext: func(net.Listener) context.Context { return ctx },
+			// The time for the first head of a connection begins in net/http before the head does,
+			// so the guard applies ReadHeaderTimeout.
+			ReadTimeout:    s.ReadTimeout,
+			IdleTimeout:    s.IdleTimeout,
+			MaxHeaderBytes: s.MaxHeaderBytes,
+			ErrorLog:       guard.ErrorLog(s.Log, s.Name),
 		},
 	}
 	if s.Wrap != nil {
@@ -106,6 +111,11 @@
 	return e, nil
 }
 
+// limits returns the limits of the guard.
+func (s Settings) limits() guard.Limits {
+	return guard.Limits{HeadTimeout: s.ReadHeaderTimeout, IdleTimeout: s.IdleTimeout}
+}
+
 // Address returns the address in use. Port 0 is replaced by the port that was chosen.
 func (e *Endpoint) Address() netip.AddrPort {
 	return e.listener.Addr().(*net.TCPAddr).AddrPort()
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -24,9 +24,7 @@
 	"bytes"
 	"context"
 	"errors"
-	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -67,7 +65,10 @@
 	// OnUnanswered is called when a connection has ended after the head of a request arrived, with
 	// no byte of a response written and although the caller had not closed it. It is optional.
 	OnUnanswered func(Unanswered)
-	Clock        func() time.Time
+	// Limits returns the limits in force for heads and idle connections. It must not block. It is
+	// optional; by default those of http.Server apply.
+	Limits func() Limits
+	Clock  func() time.Time
 }
 
 // Unanswered describes a request that got no response.
@@ -158,6 +159,7 @@
 		}
 		c.entry = entry
 		l.guard.add(c)
+		c.beginIdle(now)
 		return c, nil
 	}
 }
@@ -207,19 +209,15 @@
 	callerClosed atomic.Bool  // a read has failed
 	accepted     time.Time
 
-	mu       sync.Mutex
-	used     bool // a request has begun to arrive
-	inUse    bool // bytes of a request have been read since the connection was idle
-	whole    bool // all of that request has been read
-	ending   bool // closed as soon as it is not in use
-	givenUp  bool // to make room for others
-	closed   bool
-	deadline time.Time // that the server has set for reads
+	mu      sync.Mutex
+	used    bool // a request has begun to arrive
+	inUse   bool // bytes of a request have been read since the connection was idle
+	whole   bool // all of that request has been read
+	givenUp bool // to make room for others
+	closed  bool
+	timing
 }
 
-// past is a deadline that ends reads at once.
-var past = time.Unix(1, 0)
-
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.mu.Lock()
@@ -228,54 +226,6 @@
 	return c.Conn.Close()
 }
 
-// SetReadDeadline implements net.Conn. Once the connection ends, the deadline takes effect only if a
-// request arrives after all.
-func (c *conn) SetReadDeadline(t time.Time) error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.deadline = t
-	if c.ending && !c.inUse {
-		return nil
-	}
-	return c.Conn.SetReadDeadline(t)
-}
-
-// drain ends the connection once it is idle, unless it is unused and was accepted after the given
-// time.
-func (c *conn) drain(unusedSince time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.used || !c.accepted.After(unusedSince) {
-		c.end()
-	}
-}
-
-// end has the reader close the connection as soon as it is not in use. c.mu must be held.
-func (c *conn) end() {
-	c.ending = true
-	if !c.inUse {
-		_ = c.Conn.SetReadDeadline(past) // fails only if the connection is closed
-	}
-}
-
-// giveUp ends the connection to make room for others, or reports false if a request has arrived
-// that the phase does not show yet. A request that arrives meanwhile is refused.
-func (c *conn) giveUp(p callerlimit.Phase) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	switch {
-	case c.whole, p == callerlimit.Waiting && c.inUse:
-		return false
-	case c.inUse:
-		c.closed = true
-		_ = c.Conn.Close()
-	default:
-		c.end()
-	}
-	c.givenUp = true
-	return true
-}
-
 // Write implements net.Conn.
 func (c *conn) Write(b []byte) (n int, err error) {
 	n, err = c.Conn.Write(b)
@@ -296,23 +246,19 @@
 	report(Unanswered{Caller: c.RemoteAddr(), Since: now.Sub(c.headEnd), GivenUp: givenUp})
 }
 
-// advance has the scanner follow bytes that have been read. It reports false if the connection has
+// advance has the scanner follow bytes that were read at the given time. It reports false if the connection has
 // been closed since they were read. They must not be passed on then, because there can be no
 // response.
-func (c *conn) advance(b []byte) (part requestframe.Part, taken int, ok bool) {
+func (c *conn) advance(now time.Time, b []byte) (part requestframe.Part, taken int, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.inUse {
-		c.used, c.inUse = true, true
-		if c.ending {
-			_ = c.Conn.SetReadDeadline(c.deadline) // fails only if the connection is closed
-		}
-	}
+	c.used, c.inUse = true, true
 	part = c.scanner.Part()
 	taken = c.scanner.Advance(b)
 	if !c.busy || part == requestframe.Body {
 		c.whole = c.scanner.Part() == requestframe.Head && (part == requestframe.Body || c.scanner.Complete())
 	}
+	c.followHead(now)
 	return part, taken, !c.closed
 }
 
@@ -326,14 +272,15 @@
 	if len(c.pending) > 0 {
 		n = copy(b, c.pending)
 		c.pending = c.pending[n:]
-	} else if n, err = c.Conn.Read(b); n == 0 {
+	} else if n, err = c.receive(b); n == 0 {
 		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed) {
 			c.callerClosed.Store(true)
 		}
 		return n, err
 	}
+	now := c.guard.settings.Clock()
 	started := c.scanner.Started()
-	part, taken, ok := c.advance(b[:n])
+	part, taken, ok := c.advance(now, b[:n])
 	if !ok {
 		return 0, net.ErrClosed
 	}
@@ -343,7 +290,6 @@
 	if len(c.pending) == 0 {
 		c.pending = nil
 	}
-	now := c.guard.settings.Clock()
 	if part == requestframe.Body {
 		c.entry.Progress(now, taken)
 		if c.scanner.Part() == requestframe.Head {
@@ -352,7 +298,7 @@
 		return taken, err
 	}
 	if !c.countHead(now, b[:taken], started) {
-		c.refuse(now)
+		c.refuseMemory(now)
 		return 0, io.EOF
 	}
 	return taken, err
@@ -392,26 +338,10 @@
 	c.written.Store(0)
 }
 
-// refuse writes a response to a request whose head has not been passed on, which ends the
-// connection.
-func (c *conn) refuse(now time.Time) {
-	_ = c.Conn.SetWriteDeadline(now.Add(refusalTimeout))
-	body := c.guard.settings.Refusal
-	if body == nil {
-		body = []byte(refusalBody)
-	}
-	_, _ = fmt.Fprintf(c.Conn, "HTTP/1.1 503 Service Unavailable\r\nRetry-After: %.2f\r\nConnection: close\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s",
-		RetryAfter().Seconds(), len(body), body)
-	c.linger(now)
-}
-
-// refusalBody is the body of a refusal, in the form of the router's other ones.
-const refusalBody = `{"error":{"code":"memory"}}` + "\n"
-
 // endRequest releases the memory of the request that has ended.
 func (c *conn) endRequest(now time.Time) {
 	c.busy = false
-	c.becomeIdle()
+	c.becomeIdle(now)
 	c.entry.Release(c.head)
 	if c.owed > 0 {
 		c.entry.Enter(now, callerlimit.Receiving)
@@ -419,64 +349,3 @@
 		c.entry.Enter(now, callerlimit.Waiting)
 	}
 }
-
-// becomeIdle records that the connection waits for the next request, unless a part of it has
-// arrived.
-func (c *conn) becomeIdle() {
-	draining := c.guard.isDraining()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.inUse, c.whole = c.owed > 0 || len(c.pending) > 0, false
-	if draining || c.ending {
-		c.end()
-	}
-}
-
-// RetryAfter returns when a refused request should be sent again. By then stalled requests have
-// become recognizable, and have made room.
-func RetryAfter() time.Duration { return time.Second + rand.N(time.Second) }
-
-var (
-	// ErrNoMemory reports that there is no memory for a body.
-	ErrNoMemory = errors.New("no memory for the body of the request")
-	// ErrTooLarge reports a body above the limit.
-	ErrTooLarge = errors.New("body of the request too large")
-)
-
-// Accept records that the request with the given context has been accepted, so that its
-// connection is kept longer than others while it is idle.
-func Accept(ctx context.Context) {
-	if c, ok := ctx.Value(contextKey{}).(*conn); ok {
-		c.entry.Accept()
-	}
-}
-
-// Reserve reserves n more bytes for the request with the given context, for example to decode its
-// body. The error is ErrTooLarge if there would be no memory even without other requests, and
-// otherwise ErrNoMemory. It succeeds if the connection is not guarded.
-func Reserve(ctx context.Context, n int64) error {
-	if c, ok := ctx.Value(contextKey{}).(*conn); ok && !c.entry.Holds(n) {
-		return ErrTooLarge
-	}
-	if !reserve(ctx, n) {
-		return ErrNoMemory
-	}
-	return nil
-}
-
-// Detach keeps the memory that has been reserved for the request with the given context until the
-// returned function is called, which must be done once. It is for requests that go on after the
-// response has been written or the caller has left.
-func Detach(ctx context.Context) (release func()) {
-	if c, ok := ctx.Value(contextKey{}).(*conn); ok {
-		return c.entry.Detach()
-	}
-	return func() {}
-}
-
-// reserve reserves memory for the request with the given context. It succeeds if the connection
-// is not guarded.
-func reserve(ctx context.Context, n int64) bool {
-	c, ok := ctx.Value(contextKey{}).(*conn)
-	return !ok || c.entry.Reserve(c.guard.settings.Clock(), n)
-}
--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -291,11 +291,11 @@
 		_, err := c.Read(b)
 		require.NoError(t, err)
 	}
-	_, taken, ok := c.advance([]byte("b"))
+	_, taken, ok := c.advance(time.Now(), []byte("b"))
 	require.True(t, ok)
 	require.Equal(t, 1, taken)
 	assert.False(t, c.giveUp(callerlimit.Uploading))
-	_, _, ok = c.advance(nil)
+	_, _, ok = c.advance(time.Now(), nil)
 	assert.True(t, ok, "it is open")
 }
 
--- /dev/null
+++ b/internal/guard/timing_test.go
@@ -0,0 +1,80 @@
+package guard
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"example.org/lagoonfork/internal/callerlimit"
+)
+
+// accept returns a connection that a guard with the given limits has accepted, and its other end.
+func accept(t *testing.T, limits func() Limits) (c *conn, far net.Conn) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	far = dial(t, l.Addr().String())
+	g := New(Settings{Registry: callerlimit.New(callerlimit.Limits{}), Limits: limits, Clock: time.Now})
+	near, err := g.Listener(l).Accept()
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = near.Close() })
+	require.NoError(t, l.Close())
+	return near.(*conn), far
+}
+
+// TestIdleTimeIsNotShortened guards against an idle connection that ends before the limit that was in
+// force when it became idle, or before the one that is in force when it ends.
+func TestIdleTimeIsNotShortened(t *testing.T) {
+	limits := make(chan Limits, 1)
+	limits <- Limits{IdleTimeout: time.Minute}
+	c, _ := accept(t, func() Limits {
+		l := <-limits
+		limits <- l
+		return l
+	})
+	set := func(l Limits) {
+		<-limits
+		limits <- l
+	}
+	now := time.Now()
+	c.beginIdle(now)
+	assert.Equal(t, now.Add(time.Minute), c.applied)
+	set(Limits{IdleTimeout: time.Hour})
+	assert.True(t, c.readAgain(now.Add(time.Minute)), "the limit has been raised")
+	assert.Equal(t, now.Add(time.Hour), c.applied)
+	set(Limits{IdleTimeout: time.Second})
+	assert.Equal(t, now.Add(time.Hour), c.applied)
+	c.beginIdle(now)
+	assert.Equal(t, now.Add(time.Second), c.applied, "the lower limit applies from the next idle time on")
+}
+
+// TestHeadTimeBeginsWithItsFirstByte guards against a head whose time passes while nothing of it has
+// arrived or the request before it is in progress, and against one that gets more time with each byte.
+func TestHeadTimeBeginsWithItsFirstByte(t *testing.T) {
+	limits := Limits{HeadTimeout: 3 * time.Second, IdleTimeout: time.Minute}
+	c, _ := accept(t, func() Limits { return limits })
+	now := time.Now()
+	step := func(s string) time.Time {
+		now = now.Add(time.Second)
+		_, _, _ = c.advance(now, []byte(s))
+		c.countHead(now, []byte(s), false)
+		return c.applied
+	}
+	c.beginIdle(now)
+	idleEnd := now.Add(limits.IdleTimeout)
+	assert.Equal(t, idleEnd, step("\r\n"), "an empty line is no head")
+	headEnd := now.Add(time.Second + limits.HeadTimeout)
+	assert.Equal(t, headEnd, step("GET / HTTP/1.1\r\n"))
+	assert.Equal(t, headEnd, step("Host: h\r\n"))
+	assert.True(t, step("\r\n").IsZero(), "the head has ended")
+	assert.True(t, step("G").IsZero(), "the request is in progress")
+	now = now.Add(time.Hour)
+	c.endRequest(now)
+	assert.Equal(t, now.Add(limits.HeadTimeout), c.applied)
+	assert.False(t, c.headIsLate(now.Add(limits.HeadTimeout-1)))
+	assert.True(t, c.headIsLate(now.Add(limits.HeadTimeout)))
+	require.NoError(t, c.SetReadDeadline(past))
+	assert.Equal(t, past, c.applied, "the server's own deadlines apply too")
+}
