guard, edge: maxHeaderBytes, headerTimeoutMs and idleTimeoutMs are applied

What callers and operators saw: the configuration's limits for heads and idle connections were read and not applied; the router's own 32 KiB, 10 s and 75 s are wider. In calm idle connections could pile up to the limit of the VM, where the next slow head is given up. Cause: the fields of http.Server are fixed at its start; the configuration is known later and changes. Change: the guard, which sees the bytes and sets the deadlines of the reader, takes the limits in force from the endpoint, bounded by its own. A head above maxHeaderBytes, counted from its first line that is not empty to its end, is refused with 431; one that takes longer than headerTimeoutMs with 408. Nothing of it is passed on. An idle connection ends by the deadline of its reader; a lowered limit does not shorten an idle time that has begun.

--- a/internal/edge/endpoint.go
+++ b/internal/edge/endpoint.go
@@ -41,6 +41,7 @@
 		}
 		if e.address == s.CallerAddress {
 			settings.Wrap = r.congestion.Listener
+			settings.Configured = r.configuredLimits
 		}
 		listening, err := endpoint.Listen(settings)
 		if err != nil {
@@ -51,6 +52,15 @@
 	return nil
 }
 
+// configuredLimits returns what the configuration in force says of the heads and the idle connections
+// of callers.
+func (r *Router) configuredLimits() (l guard.Limits) {
+	if t := r.table.Load(); t != nil {
+		l = guard.Limits{HeadBytes: t.Limits.HeaderBytes, HeadTimeout: t.Limits.HeaderTimeout, IdleTimeout: t.Limits.IdleTimeout}
+	}
+	return l
+}
+
 // Paths at which routers tell each other of crashes of upstreams and of their limits.
 const (
 	crashNewsPath = "/peer/news/crashes"
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -41,7 +41,7 @@
 	pollInterval = 10 * time.Millisecond
 )
 
-// Settings configures an Endpoint. Wrap, Refusal and the limits that are zero are optional.
+// Settings configures an Endpoint. Wrap, Refusal, Configured and the limits that are zero are optional.
 type Settings struct {
 	Name    string // in the log
 	Address netip.AddrPort
@@ -55,6 +55,9 @@
 	// the first request of a connection.
 	ReadHeaderTimeout, ReadTimeout, IdleTimeout time.Duration
 	MaxHeaderBytes                              int
+	// Configured returns the limits of the configuration in force. It must not block. Those above bound
+	// them, and apply where they are zero. It is optional.
+	Configured func() guard.Limits
 
 	// Stopping is the cause with which the contexts of requests are canceled that have not ended
 	// when the endpoint has to be closed.
@@ -111,9 +114,22 @@
 	return e, nil
 }
 
-// limits returns the limits of the guard.
-func (s Settings) limits() guard.Limits {
-	return guard.Limits{HeadTimeout: s.ReadHeaderTimeout, IdleTimeout: s.IdleTimeout}
+// limits returns the limits in force. net/http permits heads of 4 KiB above MaxHeaderBytes.
+func (s Settings) limits() (l guard.Limits) {
+	if s.Configured != nil {
+		l = s.Configured()
+	}
+	l.HeadTimeout = lowerLimit(l.HeadTimeout, s.ReadHeaderTimeout)
+	l.IdleTimeout = lowerLimit(l.IdleTimeout, s.IdleTimeout)
+	return l
+}
+
+// lowerLimit returns the lower one of two limits, of which 0 means none.
+func lowerLimit(a, b time.Duration) time.Duration {
+	if a <= 0 || b > 0 && b < a {
+		return b
+	}
+	return a
 }
 
 // Address returns the address in use. Port 0 is replaced by the port that was chosen.
--- a/internal/endpoint/idle_test.go
+++ b/internal/endpoint/idle_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"example.org/lagoonfork/internal/callerlimit"
+	"example.org/lagoonfork/internal/guard"
 )
 
 // listenWith is listen with timeouts.
@@ -53,3 +54,22 @@
 	_, err = c.responses.ReadByte()
 	assert.ErrorIs(t, err, io.EOF)
 }
+
+// TestConfiguredLimitsAreBounded guards against a configuration that takes away the limits of the
+// endpoint, and against limits that are missing before there is one.
+func TestConfiguredLimitsAreBounded(t *testing.T) {
+	own := Settings{ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 75 * time.Second}
+	for configured, want := range map[guard.Limits]guard.Limits{
+		{}: {HeadTimeout: 10 * time.Second, IdleTimeout: 75 * time.Second},
+		{HeadBytes: 16_384, HeadTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}: {HeadBytes: 16_384, HeadTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
+		{HeadTimeout: time.Minute, IdleTimeout: time.Hour}:                               {HeadTimeout: 10 * time.Second, IdleTimeout: 75 * time.Second},
+		{HeadTimeout: -1, IdleTimeout: -1}:                                               {HeadTimeout: 10 * time.Second, IdleTimeout: 75 * time.Second},
+	} {
+		s := own
+		s.Configured = func() guard.Limits { return configured }
+		assert.Equal(t, want, s.limits())
+	}
+	assert.Equal(t, guard.Limits{HeadTimeout: 10 * time.Second, IdleTimeout: 75 * time.Second}, own.limits())
+	unlimited := Settings{Configured: func() guard.Limits { return guard.Limits{IdleTimeout: time.Second} }}
+	assert.Equal(t, guard.Limits{IdleTimeout: time.Second}, unlimited.limits())
+}
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -297,6 +297,10 @@
 		}
 		return taken, err
 	}
+	if c.headIsTooLarge() {
+		c.refuse(now, http.StatusRequestHeaderFieldsTooLarge, "", headTooLargeBody)
+		return 0, io.EOF
+	}
 	if !c.countHead(now, b[:taken], started) {
 		c.refuseMemory(now)
 		return 0, io.EOF
--- a/internal/guard/refusal.go
+++ b/internal/guard/refusal.go
@@ -8,10 +8,18 @@
 
 // Bodies of refusals, in the form of the router's other ones.
 const (
-	refusalBody     = `{"error":{"code":"memory"}}` + "\n"
-	headTimeoutBody = `{"error":{"code":"headerTimeout"}}` + "\n"
+	refusalBody      = `{"error":{"code":"memory"}}` + "\n"
+	headTooLargeBody = `{"error":{"code":"header"}}` + "\n"
+	headTimeoutBody  = `{"error":{"code":"headerTimeout"}}` + "\n"
 )
 
+// headIsTooLarge reports whether the head of the request that arrives is above the limit. That of one
+// that is sent ahead is not known to the server until the response before it has been written.
+func (c *conn) headIsTooLarge() bool {
+	limit := c.guard.limits().HeadBytes
+	return !c.busy && limit > 0 && c.scanner.HeadBytes() > int64(limit)
+}
+
 // refuseMemory refuses a request for whose head there is no memory.
 func (c *conn) refuseMemory(now time.Time) {
 	body := string(c.guard.settings.Refusal)
--- a/internal/guard/timing.go
+++ b/internal/guard/timing.go
@@ -12,6 +12,7 @@
 
 // Limits bounds heads and idle connections. Zero means no limit.
 type Limits struct {
+	HeadBytes int // of a whole head, with its request line and the empty line at its end
 	// HeadTimeout is the time from the first byte of a head to its end, and IdleTimeout from the
 	// start of a connection or the end of a request to the first byte of the next head. Lower
 	// limits apply from the next head or idle time on, and higher ones at once.
--- a/internal/requestframe/requestframe.go
+++ b/internal/requestframe/requestframe.go
@@ -50,6 +50,7 @@
 	state     state
 	line      []byte // first bytes of the current line
 	lineBytes int    // of the current line, without CR
+	headBytes int64  // of the head, from its first line that is not empty
 	started   bool   // a line of the head that is not empty has ended
 	remaining int64  // bytes of the body or of the chunk
 	length    int64  // as declared by the head
@@ -71,6 +72,10 @@
 // Complete reports whether the last call of Advance ended a head.
 func (s *Scanner) Complete() bool { return s.complete }
 
+// HeadBytes returns the number of bytes of the current head that have been consumed, without empty
+// lines before it. After a call of Advance that ended a head it is the size of all of it.
+func (s *Scanner) HeadBytes() int64 { return s.headBytes }
+
 // Limit returns how many of the next n bytes are certain to belong to the same part, at least
 // one.
 func (s *Scanner) Limit(n int) int {
@@ -83,7 +88,9 @@
 // Advance consumes bytes up to the end of the current part or of b, and returns how many.
 func (s *Scanner) Advance(b []byte) (n int) {
 	part := s.Part()
-	s.complete = false
+	if s.complete {
+		s.complete, s.headBytes = false, 0
+	}
 	for n < len(b) {
 		ended := false
 		if s.state == inLength || s.state == inChunk {
@@ -95,7 +102,11 @@
 				s.state = inChunkEnd
 			}
 		} else {
-			n += s.takeLine(b[n:])
+			taken := s.takeLine(b[n:])
+			n += taken
+			if s.state == inHead {
+				s.headBytes += int64(taken)
+			}
 			ended = s.lineEnded() && s.endLine(part)
 		}
 		if ended {
@@ -147,6 +158,7 @@
 			return false
 		}
 		if !s.started {
+			s.headBytes = 0
 			return false
 		}
 		s.beginBody()
--- a/internal/requestframe/requestframe_test.go
+++ b/internal/requestframe/requestframe_test.go
@@ -81,3 +81,21 @@
 		}
 	})
 }
+
+// TestHeadBytes guards against a head whose size includes the body or the empty lines before it.
+func TestHeadBytes(t *testing.T) {
+	first, body, second := "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\na\r\n0\r\n\r\n", "GET / HTTP/1.1\r\nA: b\r\n\r\n"
+	data := "\r\n" + first + body + "\r\n\n" + second + first
+	for size := 1; size < len(data); size++ {
+		var s Scanner
+		var heads []int64
+		for rest := data; len(rest) > 0; {
+			n := s.Advance([]byte(rest[:min(size, len(rest))]))
+			if s.Complete() {
+				heads = append(heads, s.HeadBytes())
+			}
+			rest = rest[n:]
+		}
+		require.Equal(t, []int64{int64(len(first)), int64(len(second)), int64(len(first))}, heads, "reads of %d bytes", size)
+	}
+}
