requestframe: a framing line with many spaces or zeros is understood

What a caller within the limits would see: a request whose Content-Length or Transfer-Encoding has more than some 45 spaces before its value, or as many leading zeros, which are legal lines, is refused with 503, and with 431 since heads are bounded by the configuration, if its body has more than 16 KB. Cause: the scanner keeps 64 bytes of a line; without the value it takes the body for a head. Change: it keeps one space for each sequence and no leading zeros. Evidence: TestLongFramingLines fails on the commit before (the body ends with the next head).

--- a/internal/requestframe/requestframe.go
+++ b/internal/requestframe/requestframe.go
@@ -29,7 +29,7 @@
 	Body             // including the framing of chunks and the trailers
 )
 
-// maxNameBytes is how much of a line is kept. It is enough for the lines that frame a body.
+// maxNameBytes is how much of a line is kept (see keep). It is enough for the lines that frame a body.
 const maxNameBytes = 64
 
 // state is what the next byte belongs to.
@@ -126,9 +126,7 @@
 	if end >= 0 {
 		taken = b[:end]
 	}
-	if room := maxNameBytes - len(s.line); room > 0 {
-		s.line = append(s.line, taken[:min(room, len(taken))]...)
-	}
+	s.keep(taken)
 	s.lineBytes += len(taken)
 	if end < 0 {
 		return len(b)
@@ -143,6 +141,27 @@
 	return end + 1
 }
 
+// keep keeps the first bytes of a line, with one space for each sequence of spaces and tabs and
+// without leading zeros of a value, of which a line that frames a body may have any number.
+func (s *Scanner) keep(b []byte) {
+	for _, next := range b {
+		if len(s.line) >= maxNameBytes {
+			return
+		}
+		last := byte(0)
+		if len(s.line) > 0 {
+			last = s.line[len(s.line)-1]
+		}
+		if next == '\t' {
+			next = ' '
+		}
+		if last == ' ' && next == ' ' || next == '0' && (last == ' ' || last == ':') {
+			continue
+		}
+		s.line = append(s.line, next)
+	}
+}
+
 func (s *Scanner) lineEnded() bool { return s.lineBytes < 0 }
 
 // endLine interprets the line that has ended and reports whether the part has ended with it.
--- a/internal/requestframe/requestframe_test.go
+++ b/internal/requestframe/requestframe_test.go
@@ -99,3 +99,25 @@
 		require.Equal(t, []int64{int64(len(first)), int64(len(second)), int64(len(first))}, heads, "reads of %d bytes", size)
 	}
 }
+
+// TestLongFramingLines guards against a body that is counted like a head, with many times its size,
+// because the line that frames it has many spaces or zeros.
+func TestLongFramingLines(t *testing.T) {
+	for _, space := range []string{" ", "\t", strings.Repeat(" ", 100), strings.Repeat("\t ", 60)} {
+		for _, line := range []string{"Content-Length:" + space + "5" + space, "Content-Length:" + space + strings.Repeat("0", 100) + "5", "Transfer-Encoding:" + space + "chunked" + space} {
+			head, body := "POST / HTTP/1.1\r\nHost: h\r\n"+line+"\r\n\r\n", "aaaaa"
+			if strings.HasPrefix(line, "T") {
+				body = "5" + space + "\r\naaaaa\r\n0\r\n\r\n"
+			}
+			r, err := http.ReadRequest(bufio.NewReader(strings.NewReader(head + body)))
+			require.NoError(t, err)
+			data, err := io.ReadAll(r.Body)
+			require.NoError(t, err)
+			require.Equal(t, "aaaaa", string(data))
+			for size := 1; size < len(head+body); size++ {
+				next := "GET / HTTP/1.1\r\n\r\n"
+				require.Equal(t, []string{head, body, next}, split(head+body+next, size), "%q, reads of %d bytes", line, size)
+			}
+		}
+	}
+}
