intake: a request whose time is over before its body has arrived is refused

Cause: the body may take 10 s whatever the time of the request. After it the request was sent to an upstream with a context that had ended, counted as run, and the 504 was written after the deadline for writes, which is 1 s after the end of its time. Change: the body is read until the end of the request's time at the latest, and then refused with 408, which says that it has not run. A body that takes longer than 10 s gets 408 too; it was 400.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -11,6 +11,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -150,24 +151,11 @@
 	}
 	rejection.bodyUnread = false
 	guard.Accept(h.Context())
-	body, err := readBody(w, h, table.Limits.BodyBytes, now)
-	if err != nil {
-		guard.Abandon(w, i.settings.Clock())
-		switch {
-		case errors.Is(err, guard.ErrNoMemory):
-			rejection.status, rejection.reason, rejection.retryAfter = http.StatusServiceUnavailable, "memory", guard.RetryAfter()
-		case errors.Is(err, guard.ErrTooLarge):
-			rejection.status, rejection.reason = http.StatusRequestEntityTooLarge, "body"
-		default:
-			rejection.status, rejection.reason = http.StatusBadRequest, "body"
-		}
-		return nil, &rejection
-	}
 	timeout := in.Timeout
 	if timeout <= 0 {
 		timeout = defaultDeadline
 	}
-	return &forward.Request{
+	r := &forward.Request{
 		ID:              in.ID,
 		Route:           matched,
 		Service:         table.Services[matched.SelectService(rand.Float64())],
@@ -178,7 +166,6 @@
 		URI:             h.RequestURI,
 		Host:            h.Host,
 		Header:          in.Header,
-		Body:            body,
 		PromptTokens:    in.PromptTokens,
 		MaxOutputTokens: in.MaxOutputTokens,
 		Parts:           in.Parts,
@@ -186,7 +173,26 @@
 		Resumes:         in.Resumes,
 		Arrived:         now,
 		Deadline:        now.Add(timeout),
-	}, nil
+	}
+	deadline := now.Add(bodyTimeout)
+	if r.Expires().Before(deadline) {
+		deadline = r.Expires() // there would be no time to run it
+	}
+	if r.Body, err = readBody(w, h, table.Limits.BodyBytes, deadline); err != nil {
+		guard.Abandon(w, i.settings.Clock())
+		switch {
+		case errors.Is(err, guard.ErrNoMemory):
+			rejection.status, rejection.reason, rejection.retryAfter = http.StatusServiceUnavailable, "memory", guard.RetryAfter()
+		case errors.Is(err, guard.ErrTooLarge):
+			rejection.status, rejection.reason = http.StatusRequestEntityTooLarge, "body"
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			rejection.status, rejection.reason = http.StatusRequestTimeout, "body"
+		default:
+			rejection.status, rejection.reason = http.StatusBadRequest, "body"
+		}
+		return nil, &rejection
+	}
+	return r, nil
 }
 
 // priority returns the customer's priority if it has one, and the route's otherwise,
@@ -199,13 +205,13 @@
 	return min(max(p, 0), maxPriority)
 }
 
-// readBody reads the whole body. A limit of 0 means no limit.
-func readBody(w http.ResponseWriter, h *http.Request, limit int64, now time.Time) (body [][]byte, err error) {
+// readBody reads the whole body until the deadline. A limit of 0 means no limit.
+func readBody(w http.ResponseWriter, h *http.Request, limit int64, deadline time.Time) (body [][]byte, err error) {
 	if h.Body == nil || h.Body == http.NoBody {
 		return nil, nil
 	}
 	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(now.Add(bodyTimeout)) // ignore writers that do not support deadlines
+	_ = control.SetReadDeadline(deadline) // ignore writers that do not support deadlines
 	body, err = guard.ReadBody(h, limit)
 	_ = control.SetReadDeadline(time.Time{})
 	return body, err
