--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -40,7 +40,8 @@
 	pollInterval = 10 * time.Millisecond
 )
 
-// Settings configures an Endpoint. Wrap, Refusal, UnusedWait, CutTimeout and the limits are optional.
+// Settings configures an Endpoint. Wrap, Refusal, Configured, UnusedWait, CutTimeout and the limits are
+// optional.
 type Settings struct {
 	Name    string // in the log
 	Address netip.AddrPort
@@ -50,8 +51,13 @@
 	Limits  *callerlimit.Registry
 	Refusal []byte // see guard.Settings
 
+	// ReadHeaderTimeout begins with the first byte of a head. IdleTimeout also bounds the time until
+	// the first request of a connection.
 	ReadHeaderTimeout, ReadTimeout, IdleTimeout time.Duration
 	MaxHeaderBytes                              int
+	// Configured returns the limits of the configuration in force. It must not block. Those above bound
+	// them, and apply where they are zero. It is optional.
+	Configured func() guard.Limits
 
 	// UnusedWait is how long a connection on which no request has arrived is kept during a stop,
 	// since it was accepted. With 0 it ends at once.
@@ -85,20 +91,23 @@
 	if err != nil {
 		return nil, err
 	}
-	g := guard.New(guard.Settings{Registry: s.Limits, Refusal: s.Refusal, Clock: s.Clock, OnUnanswered: guard.LogUnanswered(s.Log, s.Name)})
+	g := guard.New(guard.Settings{
+		Registry: s.Limits, Refusal: s.Refusal, Limits: s.limits, Clock: s.Clock, OnUnanswered: guard.LogUnanswered(s.Log, s.Name),
+	})
 	ctx, cut := context.WithCancelCause(context.Background())
 	e = &Endpoint{
 		settings: s, listener: l, guard: g, cut: cut, served: make(chan struct{}),
 		server: &http.Server{
-			Handler:           announceEnd(s.Handler, g.Draining),
-			ConnContext:       g.ConnContext,
-			ConnState:         g.ConnState,
-			BaseContext:       func(net.Listener) context.Context { return ctx },
-			ReadHeaderTimeout: s.ReadHeaderTimeout,
-			ReadTimeout:       s.ReadTimeout,
-			IdleTimeout:       s.IdleTimeout,
-			MaxHeaderBytes:    s.MaxHeaderBytes,
-			ErrorLog:          guard.ErrorLog(s.Log, s.Name),
+			Handler:     announceEnd(s.Handler, g.Draining),
+			ConnContext: g.ConnContext,
+			ConnState:   g.ConnState,
+			BaseContext: func(net.Listener) context.Context { return ctx },
+			// The time for the first head of a connection begins in net/http before the head does,
+			// so the guard applies ReadHeaderTimeout.
+			ReadTimeout:    s.ReadTimeout,
+			IdleTimeout:    s.IdleTimeout,
+			MaxHeaderBytes: s.MaxHeaderBytes,
+			ErrorLog:       guard.ErrorLog(s.Log, s.Name),
 		},
 	}
 	if s.Wrap != nil {
@@ -111,6 +120,24 @@
 	return e, nil
 }
 
+// limits returns the limits in force. net/http permits heads of 4 KiB above MaxHeaderBytes.
+func (s Settings) limits() (l guard.Limits) {
+	if s.Configured != nil {
+		l = s.Configured()
+	}
+	l.HeadTimeout = lowerLimit(l.HeadTimeout, s.ReadHeaderTimeout)
+	l.IdleTimeout = lowerLimit(l.IdleTimeout, s.IdleTimeout)
+	return l
+}
+
+// lowerLimit returns the lower one of two limits, of which 0 means none.
+func lowerLimit(a, b time.Duration) time.Duration {
+	if a <= 0 || b > 0 && b < a {
+		return b
+	}
+	return a
+}
+
 // Address returns the address in use. Port 0 is replaced by the port that was chosen.
 func (e *Endpoint) Address() netip.AddrPort {
 	return e.listener.Addr().(*net.TCPAddr).AddrPort()
--- a/internal/requestframe/requestframe_test.go
+++ b/internal/requestframe/requestframe_test.go
@@ -81,3 +81,43 @@
 		}
 	})
 }
+
+// TestHeadBytes guards against a head whose size includes the body or the empty lines before it.
+func TestHeadBytes(t *testing.T) {
+	first, body, second := "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\na\r\n0\r\n\r\n", "GET / HTTP/1.1\r\nA: b\r\n\r\n"
+	data := "\r\n" + first + body + "\r\n\n" + second + first
+	for size := 1; size < len(data); size++ {
+		var s Scanner
+		var heads []int64
+		for rest := data; len(rest) > 0; {
+			n := s.Advance([]byte(rest[:min(size, len(rest))]))
+			if s.Complete() {
+				heads = append(heads, s.HeadBytes())
+			}
+			rest = rest[n:]
+		}
+		require.Equal(t, []int64{int64(len(first)), int64(len(second)), int64(len(first))}, heads, "reads of %d bytes", size)
+	}
+}
+
+// TestLongFramingLines guards against a body that is counted like a head, with many times its size,
+// because the line that frames it has many spaces or zeros.
+func TestLongFramingLines(t *testing.T) {
+	for _, space := range []string{" ", "\t", strings.Repeat(" ", 100), strings.Repeat("\t ", 60)} {
+		for _, line := range []string{"Content-Length:" + space + "5" + space, "Content-Length:" + space + strings.Repeat("0", 100) + "5", "Transfer-Encoding:" + space + "chunked" + space} {
+			head, body := "POST / HTTP/1.1\r\nHost: h\r\n"+line+"\r\n\r\n", "aaaaa"
+			if strings.HasPrefix(line, "T") {
+				body = "5" + space + "\r\naaaaa\r\n0\r\n\r\n"
+			}
+			r, err := http.ReadRequest(bufio.NewReader(strings.NewReader(head + body)))
+			require.NoError(t, err)
+			data, err := io.ReadAll(r.Body)
+			require.NoError(t, err)
+			require.Equal(t, "aaaaa", string(data))
+			for size := 1; size < len(head+body); size++ {
+				next := "GET / HTTP/1.1\r\n\r\n"
+				require.Equal(t, []string{head, body, next}, split(head+body+next, size), "%q, reads of %d bytes", line, size)
+			}
+		}
+	}
+}
