guard: a refusal is written also on a VM that was not run for a while

What callers may see: a refused request gets no response. The deadline for the write was 100 ms after the clock had been read, and net writes nothing after a deadline, although the refusal fits into the socket's buffer. Change: the deadline is 1 s.

--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -48,8 +48,9 @@
 	// chunkedBytes is the memory that the trailers of a body without a length may take.
 	// net/http bounds them to 4 KiB.
 	chunkedBytes = 4 << 10 * byteFactor
-	// refusalTimeout bounds the time to write a refusal, which fits into the socket's buffer.
-	refusalTimeout = 100 * time.Millisecond
+	// refusalTimeout bounds the time to write a refusal, which fits into the socket's buffer. A VM with
+	// little of a processor may not run for 100 ms, and nothing is written after the deadline.
+	refusalTimeout = time.Second
 	// lookTimeout bounds the last read of a connection that ends. It returns at once what has arrived.
 	lookTimeout = 20 * time.Millisecond
 )
--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -335,3 +335,17 @@
 	_, err = c.Read(b)
 	assert.ErrorIs(t, err, os.ErrDeadlineExceeded)
 }
+
+// TestRefusalIsWrittenLate guards against a request that gets no response because some time passed
+// between the read of its head and the refusal.
+func TestRefusalIsWrittenLate(t *testing.T) {
+	r := callerlimit.New(callerlimit.Limits{Memory: 1})
+	c, far := newConn(t, r, func(*conn) {})
+	c.guard.settings.Clock = func() time.Time { return time.Now().Add(-300 * time.Millisecond) }
+	go func() { _, _ = c.Read(make([]byte, 100)) }()
+	_, err := io.WriteString(far, shortRequest)
+	require.NoError(t, err)
+	response, err := http.ReadResponse(bufio.NewReader(far), nil)
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+}
