processtest: routers may run on a given number of processors

Cause: the faults of a stop show where closing and reading of connections interleave, which they rarely do with many processors. Change: Settings.Processors is passed on as GOMAXPROCS.

--- a/internal/processtest/process.go
+++ b/internal/processtest/process.go
@@ -35,12 +35,13 @@
 // Process runs a program, or several one after another. It must not be used by more than one
 // goroutine at a time.
 type Process struct {
-	t        *testing.T
-	command  *exec.Cmd
-	exited   chan struct{} // closed once the process has ended
-	err      error         // of the process, valid once it has ended
-	log      bytes.Buffer  // output of all processes, one after another
-	logStart int           // offset in log of the last process's output
+	t           *testing.T
+	environment []string // variables in addition to those of the test
+	command     *exec.Cmd
+	exited      chan struct{} // closed once the process has ended
+	err         error         // of the process, valid once it has ended
+	log         bytes.Buffer  // output of all processes, one after another
+	logStart    int           // offset in log of the last process's output
 }
 
 // Run starts a program. The process is killed at the end of the test.
@@ -59,6 +60,7 @@
 		p.t.Cleanup(p.kill)
 	}
 	p.command = exec.Command(file, args...)
+	p.command.Env = append(os.Environ(), p.environment...)
 	p.command.Stdout, p.command.Stderr = &p.log, &p.log
 	p.logStart = p.log.Len()
 	exited := make(chan struct{})
--- a/internal/processtest/processtest.go
+++ b/internal/processtest/processtest.go
@@ -10,6 +10,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -46,6 +47,9 @@
 	FirstProgram  int
 	// Resources of the VM; 0 means that they are not limited.
 	MemoryMegabytes, Descriptors int
+	// Processors is the number of threads of the process that run Go code at a time, GOMAXPROCS; 0
+	// means the default.
+	Processors int
 }
 
 // Router is one VM, which runs one router process after another. It must not be used by more than
@@ -68,6 +72,9 @@
 		Process: newProcess(t), programs: []string{first}, nextProgram: s.FirstProgram, settings: filepath.Join(t.TempDir(), "settings.json"),
 		CallerAddress: FreeAddress(t), ReadyAddress: FreeAddress(t), PeerAddress: s.PeerAddress,
 	}
+	if s.Processors > 0 {
+		r.environment = []string{fmt.Sprint("GOMAXPROCS=", s.Processors)}
+	}
 	if s.SecondProgram != "" {
 		r.programs = append(r.programs, s.SecondProgram)
 	}
