--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -46,8 +46,9 @@
 	// chunkedBytes is the memory that the trailers of a body without a length may take.
 	// net/http bounds them to 4 KiB.
 	chunkedBytes = 4 << 10 * byteFactor
-	// refusalTimeout bounds the time to write a refusal, which fits into the socket's buffer.
-	refusalTimeout = 100 * time.Millisecond
+	// refusalTimeout bounds the time to write a refusal, which fits into the socket's buffer. A VM with
+	// little of a processor may not run for 100 ms, and nothing is written after the deadline.
+	refusalTimeout = time.Second
 )
 
 // LargestOverhead returns the memory that a request takes at most beside its body if its head has the
