guard: a connection is not read any more after a refusal

Cause: since a read goes on if its deadline has been moved. After a refusal net/http reads again if the last bytes are a part of a line; the deadline in force is then the one that bounded the refusal, the one on record that of the head, so it was read without a pause for 10 s, with an error allocated each time. Traced with gctrace. Change: after a refusal reads return at once. A deadline after which a read goes on is set in any case.

--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -200,6 +200,7 @@
 	entry   *callerlimit.Connection
 	scanner requestframe.Scanner
 	pending []byte // received, but part of what follows the last read
+	refused bool   // a response has been written to a head that was not passed on
 	busy    bool   // a request has arrived, and its response has not been completed
 	head    int64  // reserved for the unfinished head of the next request
 	owed    int64  // to be reserved for it once the connection is no longer busy
@@ -268,6 +269,9 @@
 	if len(b) == 0 {
 		return c.Conn.Read(b)
 	}
+	if c.refused { // net/http reads again after the part of a line
+		return 0, io.EOF
+	}
 	b = b[:c.scanner.Limit(len(b))]
 	if len(c.pending) > 0 {
 		n = copy(b, c.pending)
--- a/internal/guard/refusal.go
+++ b/internal/guard/refusal.go
@@ -32,6 +32,7 @@
 // refuse writes a response to a request whose head has not been passed on, which ends the
 // connection. header has the lines that not every refusal has.
 func (c *conn) refuse(now time.Time, status int, header, body string) {
+	c.refused = true
 	_ = c.Conn.SetWriteDeadline(now.Add(refusalTimeout))
 	_, _ = fmt.Fprintf(c.Conn, "HTTP/1.1 %d %s\r\n%sConnection: close\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s",
 		status, http.StatusText(status), header, len(body), body)
--- a/internal/guard/refusal_test.go
+++ b/internal/guard/refusal_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -66,3 +67,41 @@
 	}
 	require.Eventually(t, func() bool { return registry.State().Memory == 0 }, time.Minute, time.Millisecond)
 }
+
+// TestRefusedConnectionIsNotReadAgain guards against a connection that is read without a pause until the
+// time of its head is over: net/http reads again after the part of a line, when the deadline that is in
+// force is that of the refusal.
+func TestRefusedConnectionIsNotReadAgain(t *testing.T) {
+	for name, limits := range map[string]Limits{
+		"memory": {HeadTimeout: time.Minute}, "size": {HeadTimeout: time.Minute, HeadBytes: 10}, "time": {HeadTimeout: time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			registry := callerlimit.New(callerlimit.Limits{Memory: 8 << 10})
+			var reads atomic.Int64
+			c, far := newConn(t, registry, func(*conn) { reads.Add(1) })
+			c.guard.settings.Limits = func() Limits { return limits }
+			head := "GET / HTTP/1.1\r\na:"
+			if name == "memory" {
+				head += strings.Repeat("\r\na:", 100)
+			}
+			go func() {
+				_, _ = io.WriteString(far, head)
+				_, _ = io.Copy(io.Discard, far)
+			}()
+			b, err := make([]byte, 4096), error(nil)
+			for err == nil {
+				_, err = c.Read(b)
+			}
+			require.ErrorIs(t, err, io.EOF)
+			before := reads.Load()
+			ended := make(chan error, 1)
+			go func() {
+				_, err := c.Read(b)
+				ended <- err
+			}()
+			require.Eventually(t, func() bool { return len(ended) > 0 }, time.Minute, time.Millisecond)
+			assert.ErrorIs(t, <-ended, io.EOF)
+			assert.Equal(t, before, reads.Load())
+		})
+	}
+}
--- a/internal/guard/timing.go
+++ b/internal/guard/timing.go
@@ -120,7 +120,8 @@
 	default:
 		return false
 	}
-	return c.applyDeadline(next) == nil
+	c.applied = next // set in any case, so that the next read waits
+	return c.Conn.SetReadDeadline(next) == nil
 }
 
 // followHead sets the deadline after bytes have been read at the given time. c.mu must be held.
