callerapi: what a chat request consists of does not count against its memory

What callers may see: a single chat request within limits.maxBodyBytes is refused with 413 in calm on a small VM, because it has very many fields, text parts or characters such as `<`. Cause: unknown fields were kept in a map, text parts in a list, and `<`, `>`, `&` and U+2028 were escaped on the way to the engine, in callerapi and again in engineclient. What that takes was reserved, and could exceed what one request may hold. Change: internal/jsonvalue walks a valid body without decoding it. Fields that the router does not read are sent as they are, messages and text parts are decoded one by one, and characters are escaped only where JSON requires it. The reservation is 8 bytes for each byte of the body; bodies that are not valid UTF-8 are still counted with 24.

Tests: TestCountElements is gone with the function.

--- a/internal/callerapi/memory.go
+++ b/internal/callerapi/memory.go
@@ -1,7 +1,6 @@
 package callerapi
 
 import (
-	"bytes"
 	"errors"
 	"net/http"
 	"time"
@@ -11,79 +10,32 @@
 	"example.org/lagoonfork/internal/refusal"
 )
 
-// Memory that a chat request takes at most while it is decoded, encoded for the engine and run.
+// Memory that a request takes at most.
 const (
-	// chatFactor is the memory for each byte of the body: the body, its fields, the texts of the
-	// messages and their concatenation, and a growing buffer for the body that is sent.
+	// chatFactor is the memory for each byte of the body of a chat request while it is decoded, encoded
+	// for the engine and run: the body in pieces and joined, a message, the texts of the messages and
+	// their concatenation, and the bodies that are sent. It does not depend on what the body consists
+	// of.
 	chatFactor = 8
 	// invalidFactor is the same if the body is not valid UTF-8, as each invalid byte is replaced by
 	// a character of three bytes.
 	invalidFactor = 3 * chatFactor
-	// elementBytes is the memory for each field, message and text part: entries of the maps and
-	// lists that it is decoded into.
-	elementBytes = 256
-	// escapeBytes is the memory for each character that takes six bytes in the body that is sent.
-	escapeBytes = 32
 	// plainFactor is the memory for each byte of a call of a plain service, whose body is received
 	// in pieces and then joined.
 	plainFactor = 2
 )
 
 // LargestRequest returns the memory that a request with a body of the given size takes, without its
-// head and its elements.
+// head.
 func LargestRequest(maxBody int64) int64 { return maxBody * chatFactor }
 
 // chatMemory returns the memory that a chat request with the given body takes. The body need not be
 // valid.
 func chatMemory(body []byte) int64 {
-	n := int64(len(body)) * chatFactor
 	if !utf8.Valid(body) {
-		n = int64(len(body)) * invalidFactor
+		return int64(len(body)) * invalidFactor
 	}
-	elements, escapes := countElements(body)
-	return n + int64(elements)*elementBytes + int64(escapes)*escapeBytes
-}
-
-// countElements returns the number of fields of a chat request, and of messages, their fields and
-// their text parts, less one for each object or list, and the number of characters that may take
-// six bytes when they are encoded. Other fields are not decoded, so what is in them does not count.
-func countElements(body []byte) (elements, escapes int) {
-	const partsDepth = 4 // the commas between text parts are in the body, the messages, one message and its content
-	depth, start := 0, 0
-	inString, escaped, inMessages := false, false, false
-	var last []byte // the last string
-	for i, b := range body {
-		if inString {
-			switch {
-			case escaped:
-				escaped = false
-			case b == '\\':
-				escaped = true
-			case b == '"':
-				inString, last = false, body[start:i]
-			case b == '<', b == '>', b == '&', b == 0xE2: // 0xE2 begins U+2028 and U+2029
-				escapes++
-			}
-			continue
-		}
-		switch b {
-		case '"':
-			inString, start = true, i+1
-		case '{', '[':
-			depth++
-		case '}', ']':
-			depth--
-		case ':':
-			if depth == 1 { // a name with a backslash may be any
-				inMessages = string(last) == "messages" || bytes.IndexByte(last, '\\') >= 0
-			}
-		case ',':
-			if depth == 1 || inMessages && depth <= partsDepth {
-				elements++
-			}
-		}
-	}
-	return elements, escapes
+	return int64(len(body)) * chatFactor
 }
 
 // unreadTimeout is how long the rest of the body of a refused request may take. net/http reads it before
--- a/internal/callerapi/memory_test.go
+++ b/internal/callerapi/memory_test.go
@@ -15,33 +15,11 @@
 	"github.com/stretchr/testify/require"
 
 	"example.org/lagoonfork/internal/callerlimit"
+	"example.org/lagoonfork/internal/dispatch"
 	"example.org/lagoonfork/internal/guard"
 	"example.org/lagoonfork/pkg/configuration"
 )
 
-// TestCountElements guards against elements that take memory without being counted, and against
-// ordinary texts that seem to have many.
-func TestCountElements(t *testing.T) {
-	for _, c := range []struct {
-		body              string
-		elements, escapes int
-	}{
-		{`{"model":"m","a":[0,0,{"b":0,"c":0}],"stream":true}`, 2, 0},
-		{`{"messages":[{},{},{}],"a":[0,0]}`, 3, 0},
-		{`{"m\u0065ssages":[{},{},{}]}`, 2, 0},
-		{`{"a":"messages","b":[0,0,0]}`, 1, 0},
-		{`{"messages":[{"role":"user","x":0,"content":[{"type":"text","text":"a, b"},{"type":"text"}]}]}`, 3, 0},
-		{`{"messages":[{"content":"a, \"b\", {c: [d, e}\\"},{}]}`, 1, 0},
-		{`{"messages":[{"content":"<a> & ` + "\u2028" + `"}]}`, 0, 4},
-		{`]]],,,"`, 0, 0},
-	} {
-		elements, escapes := countElements([]byte(c.body))
-		assert.Equal(t, c.elements, elements, c.body)
-		assert.Equal(t, c.escapes, escapes, c.body)
-	}
-	assert.Greater(t, chatMemory([]byte("\"\xff\"")), chatMemory([]byte(`"a"`)))
-}
-
 // TestRefusalsForMemory guards against a refusal that promises memory which there will never be, and
 // against one that says that a request has not run which an earlier one with its key may have.
 func TestRefusalsForMemory(t *testing.T) {
@@ -84,40 +62,87 @@
 	}
 }
 
-// TestChatMemoryCoversWhatIsDecoded guards against bodies that take more memory than is reserved for
-// them once they are decoded and encoded.
-func TestChatMemoryCoversWhatIsDecoded(t *testing.T) {
+// chatForm is what the messages field of a chat request and the fields after it consist of.
+type chatForm struct {
+	messages string
+	refused  bool
+}
+
+func (f chatForm) body() []byte { return []byte(`{"model":"m","messages":` + f.messages + "}") }
+
+// chatForms returns chat requests of about 1 MiB.
+func chatForms() map[string]chatForm {
 	const size = 1 << 20
+	const message = `[{"role":"u","content":"x"}]`
+	repeat := func(repeated string) string { return strings.Repeat(repeated, size/len(repeated)) }
+	prompt := func(repeated string) string { return `[{"role":"u","content":"` + repeat(repeated) + `"}]` }
+	list := func(start, element string) string { return `[` + start + repeat(","+element) + `]` }
+	parts := func(element string) string { return `[{"role":"u","content":` + list(element, element) + `}]` }
 	var fields strings.Builder
 	for n := 0; fields.Len() < size; n++ {
 		fmt.Fprintf(&fields, `,"%x":0`, n)
 	}
-	prompt := func(repeated string) string {
-		return `[{"role":"u","content":"` + strings.Repeat(repeated, size/len(repeated)) + `"}]`
+	return map[string]chatForm{
+		"prompt":            {messages: prompt("x")},
+		"invalid":           {messages: prompt("\xff")},
+		"characters":        {messages: prompt("<")},
+		"separators":        {messages: prompt("\u2028")},
+		"escapes":           {messages: prompt(`\n`)},
+		"code points":       {messages: prompt(`\u00e9`)},
+		"fields":            {messages: message + fields.String()},
+		"repeated fields":   {messages: message + repeat(`,"":0`)},
+		"escaped names":     {messages: message + repeat(`,"\n":0`)},
+		"repeated messages": {messages: message + repeat(`,"messages":`+message)},
+		"numbers":           {messages: message + `,"x":` + list("0", "0")},
+		"nested lists":      {messages: message + `,"x":` + list("0", strings.Repeat("[", 5000)+strings.Repeat("]", 5000))},
+		"messages":          {messages: list(`{"role":"u"}`, `{"role":"u","content":"`+strings.Repeat("x", 256)+`"}`)},
+		"empty messages":    {messages: list("{}", "{}"), refused: true},
+		"message fields":    {messages: `[{"role":"u","content":[]` + fields.String() + `}]`},
+		"parts":             {messages: parts(`{"type":"text"}`)},
+		"parts of text":     {messages: parts(`{"type":"text","text":"<` + "\u2028" + `\n"}`)},
+		"one part":          {messages: `[{"role":"u","content":[{"type":"text","text":"` + repeat("x") + `"}]}]`},
+		"empty parts":       {messages: parts("{}"), refused: true},
 	}
+}
+
+// decodeChat decodes a chat request and encodes it for the engine.
+func decodeChat(t *testing.T, f chatForm, body []byte) (p prompt, chat *dispatch.Chat) {
+	p, refused := parsePrompt(body)
+	require.Equal(t, f.refused, refused != nil)
+	if refused == nil {
+		chat, refused = p.newChat(caller{application: &configuration.Application{MaxOutput: 1 << 20}}, &configuration.Model{})
+		require.Nil(t, refused)
+	}
+	return p, chat
+}
+
+// TestChatMemoryCoversWhatIsDecoded guards against bodies that take more memory than is reserved for
+// them once they are decoded and encoded.
+func TestChatMemoryCoversWhatIsDecoded(t *testing.T) {
 	heap := func() int64 {
 		var s runtime.MemStats
 		runtime.GC()
 		runtime.ReadMemStats(&s)
 		return int64(s.HeapAlloc)
 	}
-	for name, messages := range map[string]string{
-		"prompt":     prompt("x"),
-		"invalid":    prompt("\xff"),
-		"escapes":    prompt("<"),
-		"separators": prompt("\u2028"),
-		"fields":     prompt("x") + fields.String(),
-	} {
-		body := []byte(`{"model":"m","messages":` + messages + "}")
+	for name, f := range chatForms() {
+		body := f.body()
 		before := heap()
-		p, refused := parsePrompt(body)
-		require.Nil(t, refused, name)
-		request, refused := p.newChat(caller{application: &configuration.Application{MaxOutput: 1 << 20}}, &configuration.Model{})
-		require.Nil(t, refused, name)
+		p, chat := decodeChat(t, f, body)
 		taken := heap() - before + int64(len(body))
 		assert.Less(t, taken, chatMemory(body), name)
-		t.Logf("%s: %.1f of %.1f bytes for each", name, float64(taken)/float64(len(body)), float64(chatMemory(body))/float64(len(body)))
+		t.Logf("%s: %.1f of %d bytes for each", name, float64(taken)/float64(len(body)), chatMemory(body)/int64(len(body)))
 		runtime.KeepAlive(p)
-		runtime.KeepAlive(request)
+		runtime.KeepAlive(chat)
+	}
+}
+
+// TestChatMemoryDependsOnTheLengthAlone guards against chat requests that are refused because of what
+// they consist of.
+func TestChatMemoryDependsOnTheLengthAlone(t *testing.T) {
+	for _, repeated := range []string{"x", "<", ",", `{},`, `"":0,`, `\n`} {
+		body := strings.Repeat(repeated, 1000)
+		assert.Equal(t, LargestRequest(int64(len(body))), chatMemory([]byte(body)), repeated)
 	}
+	assert.Greater(t, chatMemory([]byte("\"\xff\"")), chatMemory([]byte(`"a"`)))
 }
--- a/internal/callerapi/prompt.go
+++ b/internal/callerapi/prompt.go
@@ -4,10 +4,11 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
-	"maps"
+	"slices"
 	"strings"
 
 	"example.org/lagoonfork/internal/dispatch"
+	"example.org/lagoonfork/internal/jsonvalue"
 	"example.org/lagoonfork/internal/refusal"
 	"example.org/lagoonfork/pkg/configuration"
 	"example.org/lagoonfork/pkg/ident"
@@ -25,7 +26,8 @@
 	maxMessages   int          = 4096
 )
 
-// prompt holds the fields of a chat request that the router evaluates.
+// prompt holds the fields of a chat request that the router evaluates. The fields that it does not read
+// stay in the body, as there may be very many.
 type prompt struct {
 	model        ident.Model
 	stream       bool
@@ -34,7 +36,16 @@
 	text         string                     // the texts of all messages, joined
 	promptBound  tokens.Count               // upper bound of the prompt's tokens
 	messages     []string                   // the texts of the messages
-	fields       map[string]json.RawMessage // all fields of the body, sent to the engine
+	partLists    map[int]bool               // the messages whose content is a list of text parts
+	body         jsonvalue.Value            // of the request
+	fields       map[string]jsonvalue.Value // those of fieldsRead that the body has
+}
+
+// fieldsRead lists the fields that the router evaluates, in the order in which it sends them to the
+// engine. If a field is repeated, the last one counts.
+var fieldsRead = []string{
+	"model", "messages", "stream", "stream_options", "n", "max_tokens", "max_completion_tokens",
+	"tools", "functions", "response_format",
 }
 
 // message is one message of a chat request.
@@ -46,9 +57,11 @@
 // parsePrompt parses and validates the body of a chat request. The refusal names the
 // invalid field.
 func parsePrompt(body []byte) (p prompt, refused *refusal.Refusal) {
-	if err := json.Unmarshal(body, &p.fields); err != nil {
+	var object struct{} // the body must be one; its fields are ignored
+	if err := json.Unmarshal(body, &object); err != nil {
 		return p, refusal.New(refusal.BadRequest, "%s", decodeErrorMessage("body", err))
 	}
+	p.findFields(body)
 	var o options
 	if refused := p.decodeOptions(&o); refused != nil {
 		return p, refused
@@ -63,12 +76,27 @@
 		return p, refused
 	}
 	p.includeUsage = o.streamOptions.IncludeUsage
-	return p, p.readMessages(o.messages)
+	return p, p.readMessages()
+}
+
+// findFields finds the fields of a valid body that the router evaluates.
+func (p *prompt) findFields(body []byte) {
+	p.body = jsonvalue.Of(body)
+	p.fields = make(map[string]jsonvalue.Value)
+	for f := range p.body.Fields() {
+		if isRead(f.Name) {
+			p.fields[string(f.Name)] = f.Value
+		}
+	}
+}
+
+// isRead reports whether the router evaluates the field with the given name.
+func isRead(name []byte) bool {
+	return slices.ContainsFunc(fieldsRead, func(read string) bool { return read == string(name) })
 }
 
 // options holds the fields of a chat request that need further validation.
 type options struct {
-	messages                       []message
 	maxTokens, maxCompletionTokens *int64
 	choices                        *int64
 	streamOptions                  struct {
@@ -83,7 +111,6 @@
 		into any
 	}{
 		{"model", &p.model},
-		{"messages", &o.messages},
 		{"stream", &p.stream},
 		{"n", &o.choices},
 		{"max_tokens", &o.maxTokens},
@@ -124,38 +151,68 @@
 // readMessages validates the model and the messages, and sets the fields of p that
 // depend on them. A token has at least one byte, so the size of the fields that make up
 // the prompt bounds its tokens.
-func (p *prompt) readMessages(messages []message) *refusal.Refusal {
+func (p *prompt) readMessages() *refusal.Refusal {
 	if p.model == "" {
 		return refusal.New(refusal.BadRequest, "model: required")
 	}
-	if len(messages) == 0 || len(messages) > maxMessages {
+	list := p.fields["messages"]
+	if refused := requireList("messages", list); refused != nil {
+		return refused
+	}
+	count := 0
+	for range list.Elements() {
+		count++
+	}
+	if count == 0 || count > maxMessages {
 		return refusal.New(refusal.BadRequest, "messages: 1 to %d are required", maxMessages)
 	}
-	var text strings.Builder
-	partTexts := make(map[int]string) // texts of the messages whose content is a list of parts, by index
-	for i, m := range messages {
-		if m.Role == "" {
-			return refusal.New(refusal.BadRequest, "messages[%d].role: required", i)
-		}
-		content, isList, refused := contentText(fmt.Sprintf("messages[%d].content", i), m.Content)
-		if refused != nil {
+	p.partLists = make(map[int]bool)
+	for m := range list.Elements() {
+		if refused := p.readMessage(m); refused != nil {
 			return refused
 		}
-		if isList {
-			partTexts[i] = content
-		}
-		text.WriteString(content)
-		p.messages = append(p.messages, content)
 	}
-	p.text = text.String()
-	defer p.joinTextParts(partTexts)
-	p.promptBound = tokens.Count(len(p.fields["messages"])) + messageOverhead*tokens.Count(len(messages))
+	p.text = strings.Join(p.messages, "")
+	p.promptBound = tokens.Count(len(list)) + messageOverhead*tokens.Count(count)
 	for _, name := range []string{"tools", "functions", "response_format"} {
 		p.promptBound += tokens.Count(len(p.fields[name]))
 	}
 	return nil
 }
 
+// readMessage adds the next message.
+func (p *prompt) readMessage(value jsonvalue.Value) *refusal.Refusal {
+	i := len(p.messages)
+	var m message
+	if err := json.Unmarshal(value, &m); err != nil {
+		return refusal.New(refusal.BadRequest, "%s", decodeErrorMessage("messages", err))
+	}
+	if m.Role == "" {
+		return refusal.New(refusal.BadRequest, "messages[%d].role: required", i)
+	}
+	content, isList, refused := contentText(fmt.Sprintf("messages[%d].content", i), m.Content)
+	if refused != nil {
+		return refused
+	}
+	if isList {
+		p.partLists[i] = true
+	}
+	p.messages = append(p.messages, content)
+	return nil
+}
+
+// requireList returns the refusal of a field that is neither a list nor null.
+func requireList(name string, value jsonvalue.Value) *refusal.Refusal {
+	if value == nil || value.IsList() {
+		return nil
+	}
+	var list []json.RawMessage
+	if err := json.Unmarshal(value, &list); err != nil {
+		return refusal.New(refusal.BadRequest, "%s", decodeErrorMessage(name, err))
+	}
+	return nil
+}
+
 // contentText returns the text of a message's content, and whether the content is a
 // list of text parts rather than a string. name is the name of the field.
 func contentText(name string, raw json.RawMessage) (text string, isList bool, refused *refusal.Refusal) {
@@ -170,46 +227,64 @@
 		}
 		return text, false, nil
 	case '[':
-		text, refused = partsText(name, raw)
+		text, refused = partsText(name, jsonvalue.Value(raw))
 		return text, true, refused
 	}
 	return "", false, refusal.New(refusal.BadRequest, "%s: a string or a list of text parts is required", name)
 }
 
-// partsText returns the joined text of a list of text parts.
-func partsText(name string, raw json.RawMessage) (text string, refused *refusal.Refusal) {
-	var parts []struct {
-		Type string `json:"type"`
-		Text string `json:"text"`
-	}
-	if err := json.Unmarshal(raw, &parts); err != nil {
-		return "", refusal.New(refusal.BadRequest, "%s", decodeErrorMessage(name, err))
-	}
+// textPart is an element of a message's content.
+type textPart struct {
+	Type string `json:"type"`
+	Text string `json:"text"`
+}
+
+// partsText returns the joined text of a list of text parts. As there may be very many, they are not
+// decoded into a list.
+func partsText(name string, list jsonvalue.Value) (text string, refused *refusal.Refusal) {
 	var joined strings.Builder
-	for i, part := range parts {
-		if part.Type != "text" {
+	joined.Grow(len(list))
+	var decoded []byte
+	i := 0
+	for value := range list.Elements() {
+		kind, partText, ok := partFields(value)
+		if !ok {
+			if err := json.Unmarshal(value, new(textPart)); err != nil {
+				return "", refusal.New(refusal.BadRequest, "%s", decodeErrorMessage(name, err))
+			}
+		}
+		if decoded = kind.AppendText(decoded[:0]); string(decoded) != "text" {
 			return "", refusal.New(refusal.BadRequest, "%s[%d].type: only text is supported", name, i)
 		}
-		joined.WriteString(part.Text)
+		decoded = partText.AppendText(decoded[:0])
+		joined.Write(decoded)
+		i++
 	}
 	return joined.String(), nil
 }
 
-// joinTextParts replaces lists of text parts by their joined text, since engines
-// accept only strings. Other fields of the messages are not changed.
-func (p *prompt) joinTextParts(texts map[int]string) {
-	if len(texts) == 0 {
-		return
+// partFields returns the fields of a text part, and whether the part has the type of one. Like package
+// json, it does not distinguish upper and lower case and ignores null.
+func partFields(part jsonvalue.Value) (kind, text jsonvalue.Value, ok bool) {
+	if !part.IsObject() {
+		return nil, nil, false
 	}
-	var messages []map[string]json.RawMessage
-	if json.Unmarshal(p.fields["messages"], &messages) != nil {
-		return // not reached: it was decoded before
-	}
-	for i, text := range texts {
-		maps.DeleteFunc(messages[i], func(k string, _ json.RawMessage) bool { return strings.EqualFold(k, "content") })
-		messages[i]["content"], _ = json.Marshal(text) // encoding a string cannot fail
+	for f := range part.Fields() {
+		into := &kind
+		switch {
+		case bytes.EqualFold(f.Name, []byte("type")):
+		case bytes.EqualFold(f.Name, []byte("text")):
+			into = &text
+		default:
+			continue
+		}
+		if f.Value.IsString() {
+			*into = f.Value
+		} else if string(f.Value) != "null" {
+			return nil, nil, false
+		}
 	}
-	p.fields["messages"], _ = json.Marshal(messages) // nor can encoding what was decoded
+	return kind, text, true
 }
 
 // newChat returns the request for the dispatcher, with the output limit set in its
@@ -225,15 +300,9 @@
 	if model.ContextWindow > 0 && p.outputLimit >= model.ContextWindow {
 		return nil, refusal.New(refusal.BadRequest, "max_tokens: the context window of %s is %d", p.model, model.ContextWindow)
 	}
-	delete(p.fields, "max_completion_tokens")
-	p.fields["max_tokens"] = fmt.Append(nil, p.outputLimit)
-	body, err := json.Marshal(p.fields)
-	if err != nil {
-		return nil, refusal.New(refusal.BadRequest, "body: %v", err)
-	}
 	return &dispatch.Chat{
 		Model:           p.model,
-		Body:            body,
+		Body:            p.engineBody(),
 		PromptText:      p.text,
 		Messages:        p.messages,
 		PromptTokens:    tokens.Count(len(p.text)/bytesPerToken) + 1,
--- a/internal/engineclient/dispatch.go
+++ b/internal/engineclient/dispatch.go
@@ -12,6 +12,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"example.org/lagoonfork/internal/jsonvalue"
 	"example.org/lagoonfork/internal/transport"
 	"example.org/lagoonfork/pkg/configuration"
 	"example.org/lagoonfork/pkg/engine"
@@ -62,16 +63,22 @@
 // withStreaming returns the request body with the fields set that ask for a
 // streamed answer with usage.
 func withStreaming(body []byte) ([]byte, error) {
-	var fields map[string]json.RawMessage
-	if err := json.Unmarshal(body, &fields); err != nil {
-		return nil, err
+	if !json.Valid(body) {
+		return nil, errors.New("body is not valid JSON")
 	}
-	if fields == nil {
+	object := jsonvalue.Of(body)
+	if !object.IsObject() {
 		return nil, errors.New("body is not an object")
 	}
-	fields["stream"] = json.RawMessage(`true`)
-	fields["stream_options"] = json.RawMessage(`{"include_usage":true}`)
-	return json.Marshal(fields)
+	const added = `"stream":true,"stream_options":{"include_usage":true}`
+	b := append(make([]byte, 0, len(body)+len(added)+len("{}")), '{')
+	for f := range object.Fields() {
+		if name := string(f.Name); name == "stream" || name == "stream_options" {
+			continue
+		}
+		b = append(append(append(append(b, f.RawName...), ':'), f.Value...), ',')
+	}
+	return append(append(b, added...), '}'), nil
 }
 
 // dispatch sends the run to the engine. It must be called at most once.
--- a/internal/router/hostile/hostile_test.go
+++ b/internal/router/hostile/hostile_test.go
@@ -199,3 +199,38 @@
 	assert.Equal(t, http.StatusOK, response.StatusCode)
 	s.check()
 }
+
+// TestLegalChats guards against limits that refuse a single chat request of the maximum size, because of
+// what it consists of.
+func TestLegalChats(t *testing.T) {
+	const message = `{"role":"user","content":"hello"}`
+	const text = `{"messages":[{"role":"user","content":"`
+	for _, c := range []struct{ name, start, repeated, end string }{
+		{"prompt", text, "x ", `"}]`},
+		{"escapes", text, `\u00e9\n\"\\`, `"}]`},
+		{"characters", text, "<&>é\u2028", `"}]`},
+		{"messages", `{"messages":[` + message, `,{"role":"user","content":"` + strings.Repeat("x", 240) + `"}`, "]"},
+		{"parts", `{"messages":[{"role":"user","content":[{"type":"text","text":"a"}`, `,{"type":"text","text":"<\n"}`, `]}]`},
+		{"parts of many messages", `{"messages":[` + message, `,{"role":"user","content":[` + strings.Repeat(`{"type":"text","text":""},`, 12) + `{"type":"text","text":"a"}]}`, "]"},
+		{"fields of a message", `{"messages":[{"role":"user","content":[{"type":"text","text":"a"}]`, `,"x":0`, `}]`},
+		{"unknown list", `{"messages":[` + message + `],"x":[0`, `,{}`, `]`},
+		{"unknown fields", `{"messages":[` + message + "]", `,"":0`, ""},
+		{"tools", `{"messages":[` + message + `],"tools":[{}`, `,{"type":"function"}`, `]`},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newSystem(t)
+			body := fill(c.start, c.repeated, c.end+fmt.Sprintf(`,"model":%q,"max_tokens":1}`, model))
+			require.Greater(t, len(body), maxBodyBytes-1000)
+			conn := s.connect(s.callerAddress, 1)[0]
+			go func() {
+				_, _ = fmt.Fprintf(conn, "%sContent-Length: %d\r\n\r\n%s", s.head("POST", chatPath), len(body), body)
+			}()
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			require.NoError(t, err)
+			answer, err := io.ReadAll(response.Body)
+			require.NoError(t, err)
+			assert.Equal(t, http.StatusOK, response.StatusCode, "%s", answer)
+			s.check()
+		})
+	}
+}
