answermemory: the answers that the product's router holds have a common bound

What operators may see: large responses of a plain service end the router, whose process runs out of memory: of callers that do not read them, or kept for repetitions for up to 10 minutes. Cause: a bound for each response (16 MiB) and none for all of them; a body was read into a growing buffer, which takes more than twice its size. Change: internal/answermemory counts the answers against callerlimit.VM.Responses (a fifth of the memory). Whole answers that are kept for repetitions make room, oldest first; one whose bill is not yet in the ledger does not, as its repetition would run again. If that is not enough, one answer is held beside the limit, so that answers of which a part has been read do not all wait for each other, and callers of plain services that do not read are given up by their pace as at the edge router (internal/buffered). A request that gets no memory to begin its answer has not run and is refused with the code memory; a response that gets none is lost and refused as one that may have run. Bodies are kept in the pieces in which they were read; their form between routers stays.

The tests of internal/plainclient read the body by its new method.

--- a/internal/buffered/buffered.go
+++ b/internal/buffered/buffered.go
@@ -91,6 +91,23 @@
 	return false
 }
 
+// GiveUpSlowest gives up the response whose caller has read the least lately, or reports false if no
+// caller is slow.
+func (m *Memory) GiveUpSlowest(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if since := now.Sub(m.foundNone); since >= 0 && since < searchInterval {
+		return false
+	}
+	victim := m.slowest(now, nil)
+	if victim == nil {
+		m.foundNone = now
+		return false
+	}
+	victim.giveUp()
+	return true
+}
+
 // Share returns the share of one response.
 func (m *Memory) Share() *Share { return &Share{memory: m, free: m.settings.Free} }
 
--- a/internal/callerapi/plain.go
+++ b/internal/callerapi/plain.go
@@ -29,17 +29,21 @@
 			end.Refusal.Write(w, request.ID)
 		default:
 			h.extendWriteDeadline(w)
-			writePlainResponse(w, end)
+			d := &delivery{w: w, ctx: r.Context()}
+			defer s.Answer.Memory.Deliver(h.Clock(), d)()
+			writePlainResponse(w, d, end)
 		}
 	})
 }
 
 // writePlainResponse writes the response of a plain service.
-func writePlainResponse(w http.ResponseWriter, end *dispatch.End) {
+func writePlainResponse(w http.ResponseWriter, d *delivery, end *dispatch.End) {
 	maps.Copy(w.Header(), end.Response.Header)
 	setBilledTokensHeader(w, end)
 	w.WriteHeader(end.Response.Status)
-	_, _ = w.Write(end.Response.Body) // the caller may have disconnected
+	for _, piece := range end.Response.Body {
+		d.write(piece)
+	}
 }
 
 // acceptCall validates a call of a plain service.
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -116,7 +116,7 @@
 // isPermanent reports whether another attempt would fail in the same way.
 func isPermanent(err error) bool {
 	return errors.Is(err, engineclient.ErrRefused) || errors.Is(err, errDiverged) ||
-		errors.Is(err, plainclient.ErrTooLarge) || errors.Is(err, errLedgerUnreachable)
+		errors.Is(err, plainclient.ErrTooLarge) || errors.Is(err, plainclient.ErrNoMemory) || errors.Is(err, errLedgerUnreachable)
 }
 
 // runAttempt chooses an upstream and dispatches the request to it.
@@ -222,6 +222,7 @@
 	forward.Request = x.r.ID
 	forward.Attempt = attempt
 	forward.Idempotent = x.r.Idempotent
+	forward.Memory = x.answer.Memory
 	response, err := x.d.PlainClient.Forward(ctx, up, forward)
 	if err == nil {
 		err = x.awaitClaim(ctx)
@@ -327,7 +328,7 @@
 		x.position++
 		return nil
 	}
-	x.answer.Append(piece)
+	x.appendPiece(piece)
 	x.position++
 	return nil
 }
--- a/internal/dispatch/claim.go
+++ b/internal/dispatch/claim.go
@@ -211,7 +211,9 @@
 func (x *run) pushBill(bill ledger.Claim) <-chan ledger.Result {
 	results := make(chan ledger.Result, 1)
 	op := ledger.Op{Budget: x.r.Budget.ID, Settle: &ledger.Settle{Claim: bill}}
+	kept := x.keepAnswer()
 	x.d.Ledger.Push(op, func(r ledger.Result) {
+		defer kept()
 		x.d.ledgerDown.Store(false)
 		x.endReservation(r, bill.Cost)
 		results <- r
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -31,6 +31,7 @@
 	"github.com/hashicorp/go-hclog"
 	"gopkg.in/tomb.v2"
 
+	"example.org/lagoonfork/internal/answermemory"
 	"example.org/lagoonfork/internal/directory"
 	"example.org/lagoonfork/internal/engineclient"
 	"example.org/lagoonfork/internal/journal"
@@ -76,6 +77,8 @@
 	Quarantine   Quarantine
 	Peers        Peers
 	Policy       func() configuration.Policy
+	// AnswerMemory bounds the memory of the answers.
+	AnswerMemory *answermemory.Pool
 	// MayDeliver reports whether the router's own lease was confirmed recently
 	// enough to deliver an answer whose bill is held only by other routers.
 	MayDeliver func(now time.Time) bool
--- a/internal/dispatch/existing.go
+++ b/internal/dispatch/existing.go
@@ -72,6 +72,9 @@
 	if !x.extendAnswer(answer.Pieces) {
 		return End{}, false
 	}
+	if response := answer.End.Response; response != nil {
+		x.answer.Memory.Add(response.Body.Len())
+	}
 	x.record("answer", "copied from "+string(c.Holder))
 	answer.End.Cost = 0
 	return answer.End, true
@@ -110,7 +113,7 @@
 		return false
 	}
 	for _, piece := range pieces[len(emitted):] {
-		x.answer.Append(piece)
+		x.appendPiece(piece)
 	}
 	return true
 }
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -50,6 +50,11 @@
 		return *end
 	}
 	defer func() { x.service.Gate.Leave(x.d.Clock(), ticket) }()
+	if end := x.awaitMemory(ctx); end != nil {
+		x.reservation.Release()
+		return *end
+	}
+	defer x.answer.Memory.Release(answerBytes)
 	return x.execute(ctx)
 }
 
--- a/internal/dispatch/submit.go
+++ b/internal/dispatch/submit.go
@@ -33,12 +33,13 @@
 	abandon context.CancelCauseFunc
 }
 
-// Abandon releases the submission. It cancels a request without an idempotency
+// Abandon releases the submission and must be called once. It cancels a request without an idempotency
 // key, since no other caller can read its answer.
 func (s *Submission) Abandon() {
 	if s.abandon != nil {
 		s.abandon(errAbandoned)
 	}
+	s.Answer.Memory.Done()
 }
 
 // Submit starts a request, or joins the one with the same idempotency key. It
@@ -58,9 +59,12 @@
 		return nil, err
 	}
 	if started {
+		answer.Memory = d.AnswerMemory.Open()
+		answer.Memory.Add(keptBytes)
 		ctx, cancel := context.WithTimeout(d.ctx, maxRunTime)
 		d.start(ctx, r, answer, cancel)
 	}
+	answer.Memory.Use()
 	return &Submission{Answer: answer, Joined: !started}, nil
 }
 
@@ -69,7 +73,8 @@
 func (d *Dispatcher) submitUnkeyed(now time.Time, r *Request) *Submission {
 	ctx, cancel := context.WithDeadline(d.ctx, now.Add(maxRunTime))
 	ctx, abandon := context.WithCancelCause(ctx)
-	answer := new(replay.Answer[string, End])
+	answer := &replay.Answer[string, End]{Memory: d.AnswerMemory.Open()}
+	answer.Memory.Use()
 	d.start(ctx, r, answer, cancel)
 	return &Submission{Answer: answer, abandon: abandon}
 }
@@ -81,9 +86,13 @@
 	x := d.newRun(r, answer)
 	d.tomb.Go(func() error {
 		defer cancel()
+		defer answer.Memory.Done()
 		end := x.produce(ctx)
-		if r.Keyed && end.Refusal != nil {
+		switch {
+		case r.Keyed && end.Refusal != nil:
 			d.answers.Drop(r.key())
+		case r.Keyed:
+			answer.Memory.Keep(func() { d.answers.DropAnswer(r.key(), answer) })
 		}
 		answer.End(end)
 		x.logEnd(&end)
--- a/internal/plainclient/client.go
+++ b/internal/plainclient/client.go
@@ -33,6 +33,7 @@
 const (
 	defaultConnectTimeout = time.Second
 	defaultIdleTimeout    = 10 * time.Second
+	defaultMemoryTimeout  = 10 * time.Second
 	defaultMaxResponse    = 16 << 20 // bytes
 )
 
@@ -45,7 +46,9 @@
 	IdleTimeout func() time.Duration
 	// MaxResponse bounds the body of a response, in bytes.
 	MaxResponse int64
-	Log         hclog.Logger
+	// MemoryTimeout bounds the wait for the memory of a response.
+	MemoryTimeout time.Duration
+	Log           hclog.Logger
 }
 
 // withDefaults returns s with zero values replaced by the defaults.
@@ -59,6 +62,9 @@
 	if s.MaxResponse == 0 {
 		s.MaxResponse = defaultMaxResponse
 	}
+	if s.MemoryTimeout == 0 {
+		s.MemoryTimeout = defaultMemoryTimeout
+	}
 	if s.Log == nil {
 		s.Log = hclog.NewNullLogger()
 	}
--- a/internal/plainclient/client_test.go
+++ b/internal/plainclient/client_test.go
@@ -59,7 +59,7 @@
 	require.NoError(t, err)
 	assert.Equal(t, http.StatusOK, response.Status)
 	var body plainservice.Response
-	require.NoError(t, json.Unmarshal(response.Body, &body))
+	require.NoError(t, json.Unmarshal(response.Body.Bytes(), &body))
 	assert.Equal(t, "/permits?tower=7", body.Path)
 	assert.Equal(t, 1, f.service.Executions("r1"))
 	assert.Equal(t, 1, f.service.Executions("k1"))
--- a/internal/plainclient/errors.go
+++ b/internal/plainclient/errors.go
@@ -18,6 +18,9 @@
 	ErrTooLarge = errors.New("response too large")
 )
 
+// ErrNoMemory is the cause of ErrResponseLost if there was no memory for the response.
+var ErrNoMemory = errors.New("no memory for the response")
+
 // Causes wrapped by the errors of Forward.
 var (
 	errIdleTimeout = errors.New("connection silent")
--- a/internal/plainclient/faulty_test.go
+++ b/internal/plainclient/faulty_test.go
@@ -70,10 +70,10 @@
 					response, err := f.client.Forward(t.Context(), f.upstream, c)
 					if test.complete {
 						require.NoError(t, err)
-						assert.Equal(t, "part", string(response.Body))
+						assert.Equal(t, "part", string(response.Body.Bytes()))
 						continue
 					}
-					assert.ErrorIs(t, err, plainclient.ErrResponseLost, "%q", response.Body)
+					assert.ErrorIs(t, err, plainclient.ErrResponseLost, "%q", response.Body.Bytes())
 				}
 			})
 		}
--- a/internal/plainclient/forward.go
+++ b/internal/plainclient/forward.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/textproto"
 	"strings"
@@ -13,6 +12,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"example.org/lagoonfork/internal/answermemory"
 	"example.org/lagoonfork/internal/event"
 	"example.org/lagoonfork/internal/transport"
 	"example.org/lagoonfork/pkg/configuration"
@@ -30,13 +30,15 @@
 	Body    []byte
 	// Idempotent permits the use of a pooled connection.
 	Idempotent bool
+	// Memory is where the memory of the response is taken from. It may be nil.
+	Memory *answermemory.Share
 }
 
 // Response is the complete response of a plain service.
 type Response struct {
 	Status int
 	Header http.Header // without hop-by-hop headers
-	Body   []byte
+	Body   Body
 }
 
 // Forward sends the call once and returns the complete response, whatever its
@@ -82,7 +84,11 @@
 	if rejectedNotRun(httpResponse) {
 		return Response{}, fmt.Errorf("%w: service answered with status %d", ErrNotRun, httpResponse.StatusCode)
 	}
-	body, err := c.readAll(ctx, &idleTimeoutReader{body: httpResponse.Body, idleTimer: idleTimer, idleTimeout: idleTimeout})
+	in := &responseReader{
+		body: httpResponse.Body, memory: call.Memory, memoryTimeout: c.settings.MemoryTimeout,
+		idleTimer: idleTimer, idleTimeout: idleTimeout,
+	}
+	body, err := c.readAll(ctx, in, httpResponse.ContentLength)
 	if err != nil {
 		return Response{}, err
 	}
@@ -135,34 +141,6 @@
 	return busy && r.Header.Get(engine.HeaderNotRun) == "true"
 }
 
-// readAll reads a body up to the size limit.
-func (c *Client) readAll(ctx context.Context, body io.Reader) ([]byte, error) {
-	data, err := io.ReadAll(io.LimitReader(body, c.settings.MaxResponse+1))
-	if err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrResponseLost, contextCause(ctx, err))
-	}
-	if int64(len(data)) > c.settings.MaxResponse {
-		return nil, ErrTooLarge
-	}
-	return data, nil
-}
-
-// idleTimeoutReader restarts the idle timer whenever data arrives.
-type idleTimeoutReader struct {
-	body        io.Reader
-	idleTimer   *time.Timer
-	idleTimeout time.Duration
-}
-
-// Read implements io.Reader.
-func (r *idleTimeoutReader) Read(p []byte) (int, error) {
-	n, err := r.body.Read(p)
-	if n > 0 {
-		r.idleTimer.Reset(r.idleTimeout)
-	}
-	return n, err
-}
-
 // hopByHop lists the headers that apply to a single connection and must not be
 // forwarded.
 var hopByHop = []string{
--- a/internal/replay/registry.go
+++ b/internal/replay/registry.go
@@ -54,16 +54,26 @@
 	r.entries.Delete(key)
 }
 
-// Expire removes the complete answers that were started before limit.
+// DropAnswer removes the given answer, unless its key belongs to another one by now.
+func (r *Registry[P, E]) DropAnswer(key Key, answer *Answer[P, E]) {
+	r.entries.Do(key, func(entries map[Key]entry[P, E]) {
+		if entries[key].answer == answer {
+			delete(entries, key)
+		}
+	})
+}
+
+// Expire removes the complete answers that were started before limit, and closes their memory.
 func (r *Registry[P, E]) Expire(limit time.Time) {
-	var expired []Key
+	expired := make(map[Key]*Answer[P, E])
 	r.entries.Each(func(key Key, e entry[P, E]) {
 		if e.started.Before(limit) && e.answer.Ended() {
-			expired = append(expired, key)
+			expired[key] = e.answer
 		}
 	})
-	for _, key := range expired {
-		r.entries.Delete(key)
+	for key, answer := range expired {
+		r.DropAnswer(key, answer)
+		answer.Memory.Close()
 	}
 }
 
--- a/internal/replay/replay.go
+++ b/internal/replay/replay.go
@@ -20,11 +20,17 @@
 import (
 	"context"
 	"sync"
+
+	"example.org/lagoonfork/internal/answermemory"
 )
 
 // Answer is a sequence of pieces of type P followed by an end value of type E. The zero
 // value is an empty, incomplete answer. Its methods are safe for concurrent use.
 type Answer[P, E any] struct {
+	// Memory is what the answer takes of the router's memory. It may be nil and is set by the producer
+	// before others can find the answer.
+	Memory *answermemory.Share
+
 	mu      sync.Mutex
 	pieces  []P
 	end     *E
--- a/internal/router/compose.go
+++ b/internal/router/compose.go
@@ -147,6 +147,7 @@
 		Quarantine:   r.quarantine,
 		Peers:        r.client,
 		Policy:       r.policy,
+		AnswerMemory: r.answerMemory(),
 		MayDeliver:   r.mayDeliver,
 		Journal:      r.journal,
 		Metrics:      r.metrics,
--- a/internal/router/hostile/hostile_test.go
+++ b/internal/router/hostile/hostile_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"example.org/lagoonfork/internal/embedded"
+	"example.org/lagoonfork/internal/fake/plainservice"
 	"example.org/lagoonfork/internal/processtest"
 )
 
@@ -23,6 +24,11 @@
 	bodyCallers   = 96  // with a body of the maximum size each
 	peerCallers   = 160 // with a body each at the endpoint for other routers
 	silentCallers = 700 // with a connection each; more than the VM's descriptors
+	// responseCallers callers get a response of responseBytes each, or a third of them one of nearly the
+	// maximum size.
+	responseCallers      = 48
+	responseBytes        = 4 << 20
+	largestResponseBytes = 15 << 20
 	// settleTime is how long the router has to take in what the callers have sent before its
 	// resources are read.
 	settleTime = 1500 * time.Millisecond
@@ -139,6 +145,37 @@
 	s.check()
 }
 
+// TestManyResponses guards against large responses of plain services that together exhaust the memory:
+// of callers that do not read them, and of requests with an idempotency key, which are held for
+// repetitions.
+func TestManyResponses(t *testing.T) {
+	for _, c := range []struct {
+		name           string
+		held           bool
+		callers, bytes int
+	}{
+		{"unread", false, responseCallers, responseBytes},
+		{"held", true, responseCallers, responseBytes},
+		{"largest unread", false, responseCallers / 3, largestResponseBytes},
+		{"largest held", true, responseCallers / 3, largestResponseBytes},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newSystem(t)
+			s.setPlainFaults(plainservice.Faults{ExcessBytes: c.bytes})
+			processtest.Each(s.connect(s.callerAddress, c.callers), func(n int, conn net.Conn) {
+				head := s.head("PUT", plainPath)
+				if c.held {
+					send(conn, fmt.Sprintf("%sIdempotency-Key: k%d\r\n", head, n), "")
+					return
+				}
+				_, _ = fmt.Fprintf(conn, "%sContent-Length: 0\r\n\r\n", head)
+			})
+			time.Sleep(settleTime)
+			s.check()
+		})
+	}
+}
+
 // TestPeerBodies guards against bodies at the endpoint for other routers that together exhaust the
 // memory, with the fleet's secret and without.
 func TestPeerBodies(t *testing.T) {
@@ -200,6 +237,22 @@
 	s.check()
 }
 
+// TestLegalResponse guards against limits that refuse a single response of nearly the maximum size.
+func TestLegalResponse(t *testing.T) {
+	s := newSystem(t)
+	s.setPlainFaults(plainservice.Faults{ExcessBytes: largestResponseBytes})
+	c := s.connect(s.callerAddress, 1)[0]
+	_, err := fmt.Fprintf(c, "%sContent-Length: 0\r\n\r\n", s.head("PUT", plainPath))
+	require.NoError(t, err)
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	require.NoError(t, err)
+	size, err := io.Copy(io.Discard, response.Body)
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusOK, response.StatusCode)
+	assert.Greater(t, size, int64(largestResponseBytes))
+	s.check()
+}
+
 // TestLegalChats guards against limits that refuse a single chat request of the maximum size, because of
 // what it consists of.
 func TestLegalChats(t *testing.T) {
--- a/internal/router/hostile/system_test.go
+++ b/internal/router/hostile/system_test.go
@@ -4,11 +4,13 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -59,6 +61,7 @@
 	t                          *testing.T
 	callerAddress, peerAddress string
 	key                        string
+	plainServices              []*plainservice.Service
 }
 
 func newSystem(t *testing.T) *system {
@@ -74,14 +77,13 @@
 	require.NoError(t, err)
 	t.Cleanup(func() { assert.NoError(t, d.Close(context.Background())) })
 	require.NoError(t, d.CloseRouters(ctx), "the process takes the place of the deployment's own router")
-	for _, p := range d.PlainServices {
-		p.SetFaults(plainservice.Faults{Delay: plainDelay})
-	}
+	plainServices := slices.Collect(maps.Values(d.PlainServices))
 	vms := httptest.NewServer(vmlist.New(vmlist.Settings{}))
 	t.Cleanup(vms.Close)
 
 	file := filepath.Join(t.TempDir(), "settings.json")
-	s := &system{t: t, callerAddress: processtest.FreeAddress(t), peerAddress: processtest.FreeAddress(t), key: keys[application]}
+	s := &system{t: t, callerAddress: processtest.FreeAddress(t), peerAddress: processtest.FreeAddress(t), key: keys[application], plainServices: plainServices}
+	s.setPlainFaults(plainservice.Faults{Delay: plainDelay})
 	data, err := json.Marshal(map[string]any{
 		"vm": "vm-0", "failureDomain": "z", "region": "r", "callerAddress": s.callerAddress, "peerAddress": s.peerAddress,
 		"store": []string{d.GatewayAddress().String()}, "vmList": vms.Listener.Addr().String(), "peerSecret": embedded.Secret,
@@ -98,6 +100,13 @@
 	return s
 }
 
+// setPlainFaults sets the faults of all plain services.
+func (s *system) setPlainFaults(f plainservice.Faults) {
+	for _, p := range s.plainServices {
+		p.SetFaults(f)
+	}
+}
+
 // addresses returns the addresses of both endpoints by name.
 func (s *system) addresses() map[string]string {
 	return map[string]string{"callers": s.callerAddress, "peers": s.peerAddress}
