peerapi: what a list of empty elements takes is reserved before it is decoded

Cause: a call of another router reserves 4 bytes for each byte of its body. A list of numbers or empty objects takes 50 to 115 for each, as each becomes an operation of the ledger, and the list grows while it is decoded. Only senders with the fleet's secret get that far. Evidence: TestPeerLists of internal/router/hostile fails on: 160 lists of 400,000 numbers took 86 MB of 64 (lists of objects 41). Change: the body is read and its elements are counted. What they take beyond the 4 bytes is reserved, and the list has room for all of them, before it is decoded. A body that will never have memory is refused with 413. A body with anything after its value is refused with 400; it was ignored before.

--- a/internal/peerapi/peerapi.go
+++ b/internal/peerapi/peerapi.go
@@ -42,8 +42,8 @@
 const (
 	// maxBodyBytes limits the body of a call.
 	maxBodyBytes = 16 << 20
-	// bodyFactor is the memory that a call takes for each byte of its body: a buffer of up to twice
-	// the size, and what is decoded from it.
+	// bodyFactor is the memory that a call takes for each byte of its body: a buffer, a second one
+	// for decoding that grows, and what is decoded from it.
 	bodyFactor = 4
 )
 
@@ -299,21 +299,6 @@
 	_, _ = w.Write(data) // the peer may have disconnected
 }
 
-// decodeBody decodes the body of a call. If the body is malformed, it responds with
-// status 400, and if there is no memory for it with status 503.
-func decodeBody[T any](h *Handler, w http.ResponseWriter, r *http.Request) (in T, ok bool) {
-	decoder := json.NewDecoder(r.Body)
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&in); errors.Is(err, guard.ErrNoMemory) {
-		guard.Refuse(w, h.Clock())
-		return in, false
-	} else if err != nil {
-		http.Error(w, "body: "+err.Error(), http.StatusBadRequest)
-		return in, false
-	}
-	return in, true
-}
-
 func writeJSON(w http.ResponseWriter, out any) {
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(out) // the peer may have disconnected
--- a/internal/router/hostile/hostile_test.go
+++ b/internal/router/hostile/hostile_test.go
@@ -20,10 +20,11 @@
 
 // Numbers of callers, fixed with the bounds on the code before limits for all callers.
 const (
-	headCallers   = 200 // with a head each, complete or not
-	bodyCallers   = 96  // with a body of the maximum size each
-	peerCallers   = 160 // with a body each at the endpoint for other routers
-	silentCallers = 700 // with a connection each; more than the VM's descriptors
+	headCallers   = 200     // with a head each, complete or not
+	bodyCallers   = 96      // with a body of the maximum size each
+	peerCallers   = 160     // with a body each at the endpoint for other routers
+	peerListBytes = 800_000 // that one call of another router may have
+	silentCallers = 700     // with a connection each; more than the VM's descriptors
 	// responseCallers callers get a response of responseBytes each, or a third of them one of nearly the
 	// maximum size.
 	responseCallers      = 48
@@ -193,6 +194,20 @@
 	}
 }
 
+// TestPeerLists guards against lists of very many short elements at the endpoint for other routers, which
+// take much more memory than their bytes once they are decoded. None of them is valid.
+func TestPeerLists(t *testing.T) {
+	for name, element := range map[string]string{"numbers": ",0", "objects": `,{"open":{"claim":0}}`} {
+		t.Run(name, func(t *testing.T) {
+			s := newSystem(t)
+			head := "POST /peer/v1/records HTTP/1.1\r\nHost: p\r\nX-Peer-Secret: " + embedded.Secret + "\r\n"
+			body := "[" + element[1:] + strings.Repeat(element, peerListBytes/len(element)) + "]"
+			processtest.Each(s.connect(s.peerAddress, peerCallers), func(_ int, c net.Conn) { send(c, head, body) })
+			s.check()
+		})
+	}
+}
+
 // TestSilentConnections guards against connections that send nothing and take all descriptors, at
 // each endpoint.
 func TestSilentConnections(t *testing.T) {
