lagoonfork: the default memory is at most what the process's control group permits

Cause: without limits.memoryMegabytes the limits follow from the memory of the machine, which in a container may be more than the container permits; the process is then ended by the system before it refuses anything. Change: internal/controlgroup reads the memory limit of the process's control group and of those above it, in version 1 and 2, and the smaller one is taken. Files that are missing set no limit; one that cannot be parsed fails the start.

--- a/cmd/lagoonfork/embedded.go
+++ b/cmd/lagoonfork/embedded.go
@@ -45,7 +45,7 @@
 	cmd.Flag("answers", "File with the answers; an example by default.").StringVar(&c.answers)
 	cmd.Flag("once", "Send a sample of requests, audit the ledger and stop.").BoolVar(&c.once)
 	cmd.Flag("routers", "Number of routers.").Default("1").IntVar(&c.routers)
-	cmd.Flag("memory-megabytes", "Memory that callers and other routers may not exhaust; that of the system by default.").IntVar(&c.memory)
+	cmd.Flag("memory-megabytes", "Memory that callers and other routers may not exhaust; that of the system or of its container by default.").IntVar(&c.memory)
 	cmd.Flag("log-level", "trace, debug, info, warn or error.").Default("warn").StringVar(&c.level)
 	cmd.Action(func(*kingpin.ParseContext) error { return c.run(ctx, os.Stdout) })
 }
--- a/cmd/lagoonfork/resources.go
+++ b/cmd/lagoonfork/resources.go
@@ -1,12 +1,15 @@
 package main
 
 import (
+	"io/fs"
+	"os"
 	"runtime/debug"
 
 	"github.com/ansel1/merry/v2"
 	"golang.org/x/sys/unix"
 
 	"example.org/lagoonfork/internal/callerlimit"
+	"example.org/lagoonfork/internal/controlgroup"
 )
 
 const (
@@ -21,11 +24,9 @@
 func resources(memory int64, descriptors int) (vm callerlimit.VM, err error) {
 	defer func() { err = merry.Prepend(err, "reading the resources of the system") }()
 	if memory == 0 {
-		var info unix.Sysinfo_t
-		if err := unix.Sysinfo(&info); err != nil {
+		if memory, err = systemMemory(os.DirFS("/")); err != nil {
 			return vm, err
 		}
-		memory = int64(info.Totalram) * int64(info.Unit)
 	}
 	if descriptors == 0 {
 		var limit unix.Rlimit
@@ -38,3 +39,18 @@
 	debug.SetMemoryLimit(int64(goMemoryFraction * float64(memory)))
 	return callerlimit.VM{Memory: memory, Descriptors: descriptors}, nil
 }
+
+// systemMemory returns the memory that the system reports, or what the control group of the process
+// permits if that is less. root is the root of the file system.
+func systemMemory(root fs.FS) (memory int64, err error) {
+	var info unix.Sysinfo_t
+	if err := unix.Sysinfo(&info); err != nil {
+		return 0, err
+	}
+	memory = int64(info.Totalram) * int64(info.Unit)
+	limit, ok, err := controlgroup.Of(root).Memory()
+	if ok && limit > 0 && limit < memory {
+		memory = limit
+	}
+	return memory, err
+}
