--- a/internal/router/hostile/hostile_test.go
+++ b/internal/router/hostile/hostile_test.go
@@ -14,15 +14,22 @@
 	"github.com/stretchr/testify/require"
 
 	"example.org/lagoonfork/internal/embedded"
+	"example.org/lagoonfork/internal/fake/plainservice"
 	"example.org/lagoonfork/internal/processtest"
 )
 
 // Numbers of callers, fixed with the bounds on the code before limits for all callers.
 const (
-	headCallers   = 200 // with a head each, complete or not
-	bodyCallers   = 96  // with a body of the maximum size each
-	peerCallers   = 160 // with a body each at the endpoint for other routers
-	silentCallers = 700 // with a connection each; more than the VM's descriptors
+	headCallers   = 200     // with a head each, complete or not
+	bodyCallers   = 96      // with a body of the maximum size each
+	peerCallers   = 160     // with a body each at the endpoint for other routers
+	peerListBytes = 800_000 // that one call of another router may have
+	silentCallers = 700     // with a connection each; more than the VM's descriptors
+	// responseCallers callers get a response of responseBytes each, or a third of them one of nearly the
+	// maximum size.
+	responseCallers      = 48
+	responseBytes        = 4 << 20
+	largestResponseBytes = 15 << 20
 	// settleTime is how long the router has to take in what the callers have sent before its
 	// resources are read.
 	settleTime = 1500 * time.Millisecond
@@ -139,6 +146,37 @@
 	s.check()
 }
 
+// TestManyResponses guards against large responses of plain services that together exhaust the memory:
+// of callers that do not read them, and of requests with an idempotency key, which are held for
+// repetitions.
+func TestManyResponses(t *testing.T) {
+	for _, c := range []struct {
+		name           string
+		held           bool
+		callers, bytes int
+	}{
+		{"unread", false, responseCallers, responseBytes},
+		{"held", true, responseCallers, responseBytes},
+		{"largest unread", false, responseCallers / 3, largestResponseBytes},
+		{"largest held", true, responseCallers / 3, largestResponseBytes},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newSystem(t)
+			s.setPlainFaults(plainservice.Faults{ExcessBytes: c.bytes})
+			processtest.Each(s.connect(s.callerAddress, c.callers), func(n int, conn net.Conn) {
+				head := s.head("PUT", plainPath)
+				if c.held {
+					send(conn, fmt.Sprintf("%sIdempotency-Key: k%d\r\n", head, n), "")
+					return
+				}
+				_, _ = fmt.Fprintf(conn, "%sContent-Length: 0\r\n\r\n", head)
+			})
+			time.Sleep(settleTime)
+			s.check()
+		})
+	}
+}
+
 // TestPeerBodies guards against bodies at the endpoint for other routers that together exhaust the
 // memory, with the fleet's secret and without.
 func TestPeerBodies(t *testing.T) {
@@ -156,6 +194,20 @@
 	}
 }
 
+// TestPeerLists guards against lists of very many short elements at the endpoint for other routers, which
+// take much more memory than their bytes once they are decoded. None of them is valid.
+func TestPeerLists(t *testing.T) {
+	for name, element := range map[string]string{"numbers": ",0", "objects": `,{"open":{"claim":0}}`} {
+		t.Run(name, func(t *testing.T) {
+			s := newSystem(t)
+			head := "POST /peer/v1/records HTTP/1.1\r\nHost: p\r\nX-Peer-Secret: " + embedded.Secret + "\r\n"
+			body := "[" + element[1:] + strings.Repeat(element, peerListBytes/len(element)) + "]"
+			processtest.Each(s.connect(s.peerAddress, peerCallers), func(_ int, c net.Conn) { send(c, head, body) })
+			s.check()
+		})
+	}
+}
+
 // TestSilentConnections guards against connections that send nothing and take all descriptors, at
 // each endpoint.
 func TestSilentConnections(t *testing.T) {
@@ -199,3 +251,54 @@
 	assert.Equal(t, http.StatusOK, response.StatusCode)
 	s.check()
 }
+
+// TestLegalResponse guards against limits that refuse a single response of nearly the maximum size.
+func TestLegalResponse(t *testing.T) {
+	s := newSystem(t)
+	s.setPlainFaults(plainservice.Faults{ExcessBytes: largestResponseBytes})
+	c := s.connect(s.callerAddress, 1)[0]
+	_, err := fmt.Fprintf(c, "%sContent-Length: 0\r\n\r\n", s.head("PUT", plainPath))
+	require.NoError(t, err)
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	require.NoError(t, err)
+	size, err := io.Copy(io.Discard, response.Body)
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusOK, response.StatusCode)
+	assert.Greater(t, size, int64(largestResponseBytes))
+	s.check()
+}
+
+// TestLegalChats guards against limits that refuse a single chat request of the maximum size, because of
+// what it consists of.
+func TestLegalChats(t *testing.T) {
+	const message = `{"role":"user","content":"hello"}`
+	const text = `{"messages":[{"role":"user","content":"`
+	for _, c := range []struct{ name, start, repeated, end string }{
+		{"prompt", text, "x ", `"}]`},
+		{"escapes", text, `\u00e9\n\"\\`, `"}]`},
+		{"characters", text, "<&>é\u2028", `"}]`},
+		{"messages", `{"messages":[` + message, `,{"role":"user","content":"` + strings.Repeat("x", 240) + `"}`, "]"},
+		{"parts", `{"messages":[{"role":"user","content":[{"type":"text","text":"a"}`, `,{"type":"text","text":"<\n"}`, `]}]`},
+		{"parts of many messages", `{"messages":[` + message, `,{"role":"user","content":[` + strings.Repeat(`{"type":"text","text":""},`, 12) + `{"type":"text","text":"a"}]}`, "]"},
+		{"fields of a message", `{"messages":[{"role":"user","content":[{"type":"text","text":"a"}]`, `,"x":0`, `}]`},
+		{"unknown list", `{"messages":[` + message + `],"x":[0`, `,{}`, `]`},
+		{"unknown fields", `{"messages":[` + message + "]", `,"":0`, ""},
+		{"tools", `{"messages":[` + message + `],"tools":[{}`, `,{"type":"function"}`, `]`},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newSystem(t)
+			body := fill(c.start, c.repeated, c.end+fmt.Sprintf(`,"model":%q,"max_tokens":1}`, model))
+			require.Greater(t, len(body), maxBodyBytes-1000)
+			conn := s.connect(s.callerAddress, 1)[0]
+			go func() {
+				_, _ = fmt.Fprintf(conn, "%sContent-Length: %d\r\n\r\n%s", s.head("POST", chatPath), len(body), body)
+			}()
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			require.NoError(t, err)
+			answer, err := io.ReadAll(response.Body)
+			require.NoError(t, err)
+			assert.Equal(t, http.StatusOK, response.StatusCode, "%s", answer)
+			s.check()
+		})
+	}
+}
