forward: a resumed stream that ends before a new event gets an error response

What callers saw: a caller that resumes a stream after an event got no byte of a response, if the upstream sent only events that it has and was lost then, or left a gap before its first event. Cause: the header of the stream counted as written before the first flush, so that the connection was aborted, as after a part of a response. Change: the header is written with the first comment or event that is passed on, or at the end of the stream. Until then the request ends with 502, with 504 after its deadline, or with the response of the next upstream. What is charged is unchanged: once a stream has begun, the prompt is.

--- a/internal/forward/finish.go
+++ b/internal/forward/finish.go
@@ -48,7 +48,7 @@
 		t.finishLeft()
 		return
 	}
-	t.undelivered = true
+	t.undelivered = !t.streamBegan
 	switch {
 	case t.serverError != nil:
 		b := t.serverError
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -17,6 +17,8 @@
 // with an event without an ID, and with io.ErrUnexpectedEOF if the connection
 // ends before the first event and nothing else shows that the stream is complete. Comments are
 // passed on, but are not events: they have no tokens, and no position that the caller must keep.
+// The header is written with the first part that is passed on: until then, an error response or the
+// response of another upstream is possible.
 func (t *transfer) forwardStream(response *exchange.Response) (err error) {
 	s := newStream(t, response)
 	defer func() {
@@ -36,18 +38,14 @@
 		if err == io.EOF && empty && response.EndsWithConnection {
 			return io.ErrUnexpectedEOF
 		}
-		if !t.headerWritten {
-			copyHeader(t.w.Header(), response.Header)
-			t.w.Header().Del("Content-Length")
-			t.w.WriteHeader(response.Status)
-			t.headerWritten, t.streamStatus = true, response.Status
-			t.releaseServerError(len(e.Bytes))
-		}
+		t.streamBegan = true
 		if err == io.EOF {
+			t.writeStreamHeader(response, 0)
 			t.admission.RecordCompletion(t.now())
 			return nil
 		}
 		if !e.HasID && isComment(e.Bytes) {
+			t.writeStreamHeader(response, len(e.Bytes))
 			if err := s.write(e.Bytes); err != nil {
 				return merry.Prepend(errCallerWrite, err.Error())
 			}
@@ -69,6 +67,7 @@
 		} else if t.eventsSent > 0 && t.attemptEvents == 0 {
 			return merry.Prepend(errNoContinuation, "event without an ID after the resumption")
 		}
+		t.writeStreamHeader(response, len(e.Bytes))
 		t.recordEvent(t.now())
 		if err := s.write(e.Bytes); err != nil {
 			return merry.Prepend(errCallerWrite, err.Error())
@@ -76,6 +75,19 @@
 	}
 }
 
+// writeStreamHeader writes the header of a stream that begins with an event of the given size,
+// unless the caller has it.
+func (t *transfer) writeStreamHeader(response *exchange.Response, size int) {
+	if t.headerWritten {
+		return
+	}
+	copyHeader(t.w.Header(), response.Header)
+	t.w.Header().Del("Content-Length")
+	t.w.WriteHeader(response.Status)
+	t.headerWritten, t.streamStatus = true, response.Status
+	t.releaseServerError(size)
+}
+
 // releaseServerError releases the memory of a kept response, which is no longer needed once a
 // stream with an event of the given size has begun.
 func (t *transfer) releaseServerError(size int) {
--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -65,6 +65,7 @@
 	prompt        *affinity.Prompt // of the current attempt, nil if it has none
 
 	headerWritten bool  // whether the response header was written to the caller
+	streamBegan   bool  // whether the first event or the end of a stream was received
 	streamStatus  int   // status of the stream of which the header was written
 	lastEventID   int64 // of the last event sent to the caller
 	eventsSent    int   // to the caller
@@ -74,7 +75,7 @@
 	lastWrite              time.Time     // when the last event was sent
 
 	serverError *bufferedResponse // 5xx response of an upstream other than 503, forwarded if no attempt succeeds
-	undelivered bool              // whether the request failed without any part of a response, not because of its caller
+	undelivered bool              // whether the request failed without any part of a response or of a stream, not because of its caller
 	keptBytes   int64             // that serverError takes beside the response of the current attempt
 }
 
@@ -241,7 +242,8 @@
 
 // charged reports whether the request may have run and is charged. One that failed without any part
 // of a response is not: its caller got nothing, and would be charged twice for sending it again,
-// possibly to another router.
+// possibly to another router. Once a stream has begun, the request is charged although its caller may
+// have all events that were received.
 func (t *transfer) charged() bool { return t.runs > 0 && !t.undelivered }
 
 // cost returns the cost of the request so far.
