forward: an error response is written also long after the end of its request

What callers may see: a request gets no byte of a response if its error response is written more than 1 s after its end, as on a VM that was not run for a while. Cause: the only deadline for writes was set when the request began, 1 s after its end, and net writes nothing after a deadline. A kept 5xx response of an upstream, which may be large, has until 1 s after the end, or 1 s if that is later. Refusals of package intake have no deadline for writes and are unchanged. leftWriteTimeout, which a test uses, is now errorWriteTimeout, of the same value.

--- a/internal/forward/finish.go
+++ b/internal/forward/finish.go
@@ -15,9 +15,9 @@
 const (
 	// callerLeft is the outcome of a request whose caller has closed its side of the connection.
 	callerLeft = "callerLeft"
-	// leftWriteTimeout bounds the write of the error response to such a caller, which blocks only
-	// if earlier responses fill the socket's buffer.
-	leftWriteTimeout = time.Second
+	// errorWriteTimeout bounds the write of an error response, which blocks only if earlier responses
+	// fill the socket's buffer.
+	errorWriteTimeout = time.Second
 )
 
 // finishFailed ends a request whose response was not delivered. It aborts the
@@ -52,6 +52,9 @@
 	switch {
 	case t.serverError != nil:
 		b := t.serverError
+		if now := t.now(); now.After(t.r.Expires()) {
+			setWriteDeadline(t.w, now.Add(writeGrace))
+		}
 		if t.writeBuffered(b) != nil {
 			t.finishFailed(reason) // as the caller has a part of it
 		}
@@ -63,7 +66,7 @@
 		status, reason = http.StatusGatewayTimeout, "timeout"
 	}
 	t.recordEnd(status, reason, "")
-	WriteError(t.w, status, reason, retryAfter)
+	writeError(t.now(), t.w, status, reason, retryAfter)
 }
 
 // finishLeft ends a request whose caller has closed its side of the connection before a part of
@@ -76,8 +79,7 @@
 	}
 	t.recordEnd(status, callerLeft, "")
 	t.w.Header().Set("Connection", "close")
-	_ = t.delivery.control.SetWriteDeadline(t.now().Add(leftWriteTimeout)) // not every writer supports deadlines
-	WriteError(t.w, status, callerLeft, retryAfter)
+	writeError(t.now(), t.w, status, callerLeft, retryAfter)
 }
 
 // endCaller aborts the connection to a caller that was ended because it does not read.
@@ -120,7 +122,7 @@
 		return
 	}
 	t.recordEnd(r.status, r.reason, "")
-	WriteError(t.w, r.status, r.reason, r.retryAfter)
+	writeError(t.now(), t.w, r.status, r.reason, r.retryAfter)
 }
 
 // retryDelay returns the Retry-After of a request that was not run: a quarter of the
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -200,7 +200,7 @@
 	ctx, cancel := context.WithDeadline(h.Context(), r.Expires())
 	defer cancel()
 	// Abort writing to a caller that does not read soon after the deadline.
-	_ = http.NewResponseController(w).SetWriteDeadline(r.Expires().Add(writeGrace)) // not every writer supports deadlines
+	setWriteDeadline(w, r.Expires().Add(writeGrace))
 	event.ForwardReceived.Info(f.settings.Log, "request", r.ID, "route", r.Route.Name, "service", r.Service.ID,
 		"customer", r.customerID(), "left", r.Expires().Sub(r.Arrived), "revision", r.Revision)
 	t := &transfer{f: f, r: r, w: w, ctx: ctx, subject: r.subject(), lastEventID: r.After}
@@ -302,7 +302,18 @@
 		"customer", r.customerID(), "tokens", r.maxCost(), "error", refused.cause, "took", f.settings.Clock().Sub(r.Arrived)}
 	event.ForwardRefused.Info(f.settings.Log, append(args, refused.details...)...)
 	f.settings.Metrics.RecordRequest(r.Route.Name, refused.reason, f.settings.Clock().Sub(r.Arrived), 0)
-	WriteError(w, refused.status, refused.reason, refused.retryAfter)
+	writeError(f.settings.Clock(), w, refused.status, refused.reason, refused.retryAfter)
+}
+
+// writeError writes an error response to a request whose deadline for writes may have passed, as on a
+// VM that was not run for a while: net writes nothing after it.
+func writeError(now time.Time, w http.ResponseWriter, status int, reason string, retryAfter time.Duration) {
+	setWriteDeadline(w, now.Add(errorWriteTimeout))
+	WriteError(w, status, reason, retryAfter)
+}
+
+func setWriteDeadline(w http.ResponseWriter, deadline time.Time) {
+	_ = http.NewResponseController(w).SetWriteDeadline(deadline) // not every writer supports deadlines
 }
 
 // WriteError writes an error response that originates from the router itself.
--- a/internal/forward/left_test.go
+++ b/internal/forward/left_test.go
@@ -178,5 +178,5 @@
 	r.Deadline = r.Arrived.Add(time.Hour)
 	f.forwarder.Serve(w, h, r)
 	assert.Equal(t, http.StatusBadGateway, w.Code)
-	assert.WithinRange(t, w.deadline, r.Arrived, time.Now().Add(leftWriteTimeout))
+	assert.WithinRange(t, w.deadline, r.Arrived, time.Now().Add(errorWriteTimeout))
 }
