lagoonfork: SIGHUP no longer ends the router

What callers saw: their requests ended without a response when an operator sent SIGHUP to lagoonfork router. Cause: the signal was not handled, so that the process ended. Change: as in platform/front, the settings file is read and checked (event 144); settings are in force at the next start.

--- a/cmd/lagoonfork/router.go
+++ b/cmd/lagoonfork/router.go
@@ -6,6 +6,8 @@
 	"expvar"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -13,6 +15,7 @@
 
 	"example.org/lagoonfork/internal/callerlimit"
 	"example.org/lagoonfork/internal/etcd"
+	"example.org/lagoonfork/internal/event"
 	"example.org/lagoonfork/internal/metrics"
 	"example.org/lagoonfork/internal/router"
 	"example.org/lagoonfork/internal/settings"
@@ -29,8 +32,10 @@
 }
 
 // runRouter serves until ctx ends or a newer process is registered for the VM,
-// then drains.
+// then drains. On SIGHUP it reads the settings file and logs any error, but applies nothing.
 func runRouter(ctx context.Context, file string) (err error) {
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
 	s, err := readSettings(file)
 	if err != nil {
 		return usageError{err}
@@ -47,15 +52,22 @@
 	if err != nil {
 		return err
 	}
-	r, err := router.Start(ctx, routerSettings(s, vm, client, vms))
+	options := routerSettings(s, vm, client, vms)
+	r, err := router.Start(ctx, options)
 	if err != nil {
 		return err
 	}
 	expvar.Publish(metrics.Name, r.Metrics().Map())
-	select {
-	case <-ctx.Done():
-	case <-r.Done():
-		err = errSuperseded
+	for running := true; running; {
+		select {
+		case <-reload:
+			_, err := readSettings(file) // only checked: settings take effect at the next start
+			event.SettingsReloaded.Info(options.Log, "error", err)
+		case <-ctx.Done():
+			running = false
+		case <-r.Done():
+			running, err = false, errSuperseded
+		}
 	}
 	drainCtx, cancel := context.WithTimeout(context.Background(), time.Duration(s.Limits.DrainTimeoutSeconds)*time.Second)
 	defer cancel()
