requestframe: heads are not hidden behind a body that the server does not see

Cause: net/http ignores the Transfer-Encoding of a request in HTTP/1.0, and joins lines of a head that begin with a space or a tab to the line before. The scanner did neither. A caller with a request in HTTP/1.0 that has a Content-Length of 6, an encoding and the body "FFFF", or with a Content-Length whose digits stand in the next line and a body that looks like a head with a large length, had all that follows on the connection taken for a body: heads were neither counted nor bounded in size and time.

Evidence: TestHeadsAreNotHiddenInABody, and two inputs of FuzzEndsWhereTheServerEnds, which passed over HTTP/1.0, fail on the code before.

Change: the end of the request line is kept, and an encoding has no effect if it is HTTP/1.0. A line that continues the field before is read as its value.

--- a/internal/requestframe/requestframe.go
+++ b/internal/requestframe/requestframe.go
@@ -32,6 +32,9 @@
 // maxNameBytes is how much of a line is kept (see keep). It is enough for the lines that frame a body.
 const maxNameBytes = 64
 
+// version10 is the end of the request line of a request whose Transfer-Encoding net/http ignores.
+const version10 = " HTTP/1.0"
+
 // state is what the next byte belongs to.
 type state int
 
@@ -49,6 +52,9 @@
 type Scanner struct {
 	state     state
 	line      []byte // first bytes of the current line
+	lineEnd   []byte // last bytes of the request line
+	name      string // of the last field of the head, which lines that begin with space continue
+	old       bool   // the version is HTTP/1.0
 	lineBytes int    // of the current line, without CR
 	headBytes int64  // of the head, from its first line that is not empty
 	started   bool   // a line of the head that is not empty has ended
@@ -127,6 +133,9 @@
 		taken = b[:end]
 	}
 	s.keep(taken)
+	if s.state == inHead && !s.started {
+		s.keepEnd(taken)
+	}
 	s.lineBytes += len(taken)
 	if end < 0 {
 		return len(b)
@@ -162,6 +171,13 @@
 	}
 }
 
+// keepEnd keeps the last bytes of the request line.
+func (s *Scanner) keepEnd(b []byte) {
+	const size = len(version10 + "\r")
+	s.lineEnd = append(s.lineEnd, b[max(0, len(b)-size):]...)
+	s.lineEnd = append(s.lineEnd[:0], s.lineEnd[max(0, len(s.lineEnd)-size):]...)
+}
+
 func (s *Scanner) lineEnded() bool { return s.lineBytes < 0 }
 
 // endLine interprets the line that has ended and reports whether the part has ended with it.
@@ -171,8 +187,15 @@
 	s.line, s.lineBytes = s.line[:0], 0
 	switch s.state {
 	case inHead:
-		if !empty {
+		if !empty && s.started {
 			s.readField(line)
+			return false
+		}
+		if !s.started {
+			s.old = bytes.HasSuffix(bytes.TrimSuffix(s.lineEnd, []byte("\r")), []byte(version10))
+			s.lineEnd = s.lineEnd[:0]
+		}
+		if !empty {
 			s.started = true
 			return false
 		}
@@ -202,21 +225,23 @@
 	return part == Head || s.state == inHead
 }
 
-// readField reads a line of the head that may frame the body.
+// readField reads a line of the head that may frame the body. Like net/http, it takes a line that
+// begins with space for a part of the field before. Only one part of a length or an encoding may hold
+// more than space.
 func (s *Scanner) readField(line string) {
-	name, value, ok := strings.Cut(line, ":")
-	if !ok || !s.started {
-		return
+	value := line
+	if !strings.HasPrefix(line, " ") {
+		s.name, value, _ = strings.Cut(line, ":")
 	}
 	value = strings.TrimSpace(value)
 	switch {
-	case strings.EqualFold(name, "Content-Length"):
+	case strings.EqualFold(s.name, "Content-Length"):
 		n, err := strconv.ParseInt(value, 10, 64)
 		if err == nil && n > 0 {
 			s.length = n
 		}
-	case strings.EqualFold(name, "Transfer-Encoding"):
-		s.chunked = s.chunked || strings.EqualFold(value, "chunked")
+	case strings.EqualFold(s.name, "Transfer-Encoding"):
+		s.chunked = s.chunked || strings.EqualFold(value, "chunked") && !s.old
 	}
 }
 
@@ -230,6 +255,6 @@
 	default:
 		s.state = inHead
 	}
-	s.started, s.length, s.chunked = false, 0, false
+	s.started, s.length, s.chunked, s.name = false, 0, false, ""
 	s.complete = true
 }
--- a/internal/requestframe/requestframe_test.go
+++ b/internal/requestframe/requestframe_test.go
@@ -61,11 +61,13 @@
 	f.Add("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\nB: c\r\n\r\nGET /", 3)
 	f.Add("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\n\r\nGET /", 1)
 	f.Add("GET / HTTP/1.1\r\nHost: a\r\n\r\n\r\n", 5)
+	f.Add("POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\nFF\r\nGET /", 5)
+	f.Add("POST / HTTP/1.1\r\nHost: a\r\nContent-Length:\r\n\t\r\n 3\r\n\r\nabcGET /", 7)
 	f.Fuzz(func(t *testing.T, data string, size int) {
 		source := strings.NewReader(data)
 		reader := bufio.NewReader(source)
 		r, err := http.ReadRequest(reader)
-		if err != nil || size <= 0 || len(data) > 2000 || r.ProtoMajor != 1 || r.ProtoMinor != 1 {
+		if err != nil || size <= 0 || len(data) > 2000 || r.ProtoMajor != 1 {
 			return
 		}
 		head := len(data) - source.Len() - reader.Buffered()
@@ -121,3 +123,28 @@
 		}
 	}
 }
+
+// TestHeadsAreNotHiddenInABody guards against heads that are not counted, because a body that net/http
+// does not see, or one that it sees and the scanner takes for a head, seems to go on.
+func TestHeadsAreNotHiddenInABody(t *testing.T) {
+	const next = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+	for name, parts := range map[string][]string{
+		"encoding in HTTP/1.0":           {"POST / HTTP/1.0\r\nConnection: keep-alive\r\nTransfer-Encoding: chunked\r\nContent-Length: 6\r\n\r\n", "FFFF\r\n"},
+		"encoding in HTTP/1.0, bare LF":  {"POST / HTTP/1.0\nTransfer-Encoding: chunked\nContent-Length: 6\n\n", "FFFF\r\n"},
+		"length in a continued line":     {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length:\r\n \r\n\t040\r\n\r\n", "POST / HTTP/1.1\r\nContent-Length: 999\r\n\r\n"},
+		"encoding in a continued line":   {"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding:\r\n chunked\r\n\r\n", "28\r\nPOST / HTTP/1.1\r\nContent-Length: 999\r\n\r\n\r\n0\r\n\r\n"},
+		"continued line of another name": {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nA: b\r\n 9\r\n\r\n", "a"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			data := strings.Join(parts, "")
+			r, err := http.ReadRequest(bufio.NewReader(strings.NewReader(data + next + next)))
+			require.NoError(t, err)
+			body, err := io.ReadAll(r.Body)
+			require.NoError(t, err)
+			require.NotEmpty(t, body)
+			for size := 1; size <= len(data+next); size++ {
+				require.Equal(t, append(parts[:2:2], next, next), split(data+next+next, size), "reads of %d bytes", size)
+			}
+		})
+	}
+}
