callerapi: no field reaches an engine that differs from one that the router reads in case alone

Cause: the router reads max_tokens, max_completion_tokens, n, tools, functions and response_format by their exact names, and sends all other fields as they are. An engine in Go, such as the stand-in (internal/fake/engine), does not distinguish upper and lower case: "Max_Completion_Tokens": 1000000, "N": 5 or "Tools" made it run more than what was reserved and billed. Escaped names are read; the form with U+017F for an s is another way.

Change: such fields are not sent.

--- a/internal/callerapi/enginebody.go
+++ b/internal/callerapi/enginebody.go
@@ -3,20 +3,22 @@
 import (
 	"bytes"
 	"encoding/json"
+	"slices"
 	"strconv"
 
 	"example.org/lagoonfork/internal/jsonvalue"
 )
 
 // engineBody returns the body for the engine, with the output limit. The fields that the router does
-// not read are sent as they are, without the space between them.
+// not read are sent as they are, without the space between them, unless an engine that does not
+// distinguish upper and lower case would take them for those that it reads.
 func (p *prompt) engineBody() []byte {
 	const limitBytes = 64 // of the field with the output limit
 	var b bytes.Buffer
 	b.Grow(len(p.body) + limitBytes)
 	b.WriteByte('{')
 	for f := range p.body.Fields() {
-		if !isRead(f.Name) {
+		if !resemblesRead(f.Name) {
 			writeField(&b, f)
 		}
 	}
@@ -38,6 +40,12 @@
 	return b.Bytes()
 }
 
+// resemblesRead reports whether a field has the name of one that the router evaluates, in upper or lower
+// case.
+func resemblesRead(name []byte) bool {
+	return slices.ContainsFunc(fieldsRead, func(read string) bool { return bytes.EqualFold(name, []byte(read)) })
+}
+
 // writeMessages writes the messages. Lists of text parts are replaced by their joined text, since
 // engines accept only strings.
 func (p *prompt) writeMessages(b *bytes.Buffer, list jsonvalue.Value) {
