callerapi: the bound of a prompt covers bytes that are not valid UTF-8

Cause: the bound counts the bytes of a prompt as they arrive. A byte that is not valid UTF-8 becomes U+FFFD, three bytes, in the router where it joins text parts and in an engine that decodes as package json does, so a prompt of such bytes could take up to three times the tokens that were reserved. The bill is cut to the reservation.

Change: such a byte counts as three. The bound of valid text is unchanged.

--- a/internal/callerapi/enginebody_test.go
+++ b/internal/callerapi/enginebody_test.go
@@ -4,11 +4,13 @@
 	"encoding/json"
 	"strings"
 	"testing"
+	"unicode/utf8"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"example.org/lagoonfork/pkg/configuration"
+	"example.org/lagoonfork/pkg/tokens"
 )
 
 // TestEngineRunsNoMoreThanIsReserved guards against fields that the router does not evaluate and an engine
@@ -52,3 +54,24 @@
 		}
 	}
 }
+
+// TestBoundOfInvalidText guards against a prompt that takes more tokens than are reserved, because each
+// of its invalid bytes becomes a character of three bytes.
+func TestBoundOfInvalidText(t *testing.T) {
+	invalid := strings.Repeat("\xff", 1000)
+	for name, body := range map[string]string{
+		"text":            `"messages":[{"role":"user","content":"` + invalid + `"}]`,
+		"part":            `"messages":[{"role":"user","content":[{"type":"text","text":"` + invalid + `"}]}]`,
+		"role":            `"messages":[{"role":"` + invalid + `","content":"a"}]`,
+		"tools":           `"messages":[{"role":"user","content":"a"}],"tools":["` + invalid + `"]`,
+		"functions":       `"messages":[{"role":"user","content":"a"}],"functions":["` + invalid + `"]`,
+		"response format": `"messages":[{"role":"user","content":"a"}],"response_format":"` + invalid + `"`,
+	} {
+		p, refused := parsePrompt([]byte(`{"model":"m",` + body + "}"))
+		require.Nil(t, refused, name)
+		assert.GreaterOrEqual(t, p.promptBound, tokens.Count(len(invalid)*utf8.RuneLen(utf8.RuneError)), name)
+	}
+	p, refused := parsePrompt([]byte(`{"model":"m","messages":[{"role":"user","content":"é"}]}`))
+	require.Nil(t, refused)
+	assert.EqualValues(t, len(`[{"role":"user","content":"é"}]`)+int(messageOverhead), p.promptBound, "valid text")
+}
--- a/internal/callerapi/prompt.go
+++ b/internal/callerapi/prompt.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"unicode/utf8"
 
 	"example.org/lagoonfork/internal/dispatch"
 	"example.org/lagoonfork/internal/jsonvalue"
@@ -173,13 +174,28 @@
 		}
 	}
 	p.text = strings.Join(p.messages, "")
-	p.promptBound = tokens.Count(len(list)) + messageOverhead*tokens.Count(count)
+	p.promptBound = textBound(list) + messageOverhead*tokens.Count(count)
 	for _, name := range []string{"tools", "functions", "response_format"} {
-		p.promptBound += tokens.Count(len(p.fields[name]))
+		p.promptBound += textBound(p.fields[name])
 	}
 	return nil
 }
 
+// textBound returns an upper bound of the tokens of the texts in a value. An engine may take each byte
+// that is not valid UTF-8 for U+FFFD, like package json, which has three bytes.
+func textBound(value jsonvalue.Value) (bound tokens.Count) {
+	for rest := value; len(rest) > 0; {
+		r, size := utf8.DecodeRune(rest)
+		if r == utf8.RuneError {
+			bound += tokens.Count(utf8.RuneLen(r))
+		} else {
+			bound += tokens.Count(size)
+		}
+		rest = rest[size:]
+	}
+	return bound
+}
+
 // readMessage adds the next message.
 func (p *prompt) readMessage(value jsonvalue.Value) *refusal.Refusal {
 	i := len(p.messages)
