endpoint: the time for the first request of a connection begins with it

Cause: net/http begins ReadTimeout for the first request of a connection when it accepts the connection, and uses it as the time of its head. On the product's router (15 s, idle time 60 s) a connection opened ahead was closed after 15 s, and an upload that began after 14 s had one second. The same had been mended for ReadHeaderTimeout alone, which the edge uses.

Change: net/http gets no ReadTimeout. The endpoint sets the deadline of a body once its head has been read.

--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -51,8 +51,8 @@
 	Limits  *callerlimit.Registry
 	Refusal []byte // see guard.Settings
 
-	// ReadHeaderTimeout begins with the first byte of a head. IdleTimeout also bounds the time until
-	// the first request of a connection.
+	// ReadHeaderTimeout begins with the first byte of a head, and ReadTimeout, which is that of a body,
+	// with the end of the head. IdleTimeout also bounds the time until the first request of a connection.
 	ReadHeaderTimeout, ReadTimeout, IdleTimeout time.Duration
 	MaxHeaderBytes                              int
 	// Configured returns the limits of the configuration in force. It must not block. Those above bound
@@ -98,13 +98,12 @@
 	e = &Endpoint{
 		settings: s, listener: l, guard: g, cut: cut, served: make(chan struct{}),
 		server: &http.Server{
-			Handler:     announceEnd(s.Handler, g.Draining),
+			Handler:     s.limitBodies(announceEnd(s.Handler, g.Draining)),
 			ConnContext: g.ConnContext,
 			ConnState:   g.ConnState,
 			BaseContext: func(net.Listener) context.Context { return ctx },
-			// The time for the first head of a connection begins in net/http before the head does,
-			// so the guard applies ReadHeaderTimeout.
-			ReadTimeout:    s.ReadTimeout,
+			// The times for the first request of a connection begin in net/http before the head does,
+			// so the guard applies ReadHeaderTimeout, and limitBodies ReadTimeout.
 			IdleTimeout:    s.IdleTimeout,
 			MaxHeaderBytes: s.MaxHeaderBytes,
 			ErrorLog:       guard.ErrorLog(s.Log, s.Name),
@@ -120,6 +119,20 @@
 	return e, nil
 }
 
+// limitBodies returns a handler for whose bodies ReadTimeout applies. net/http sets another deadline once
+// the body has ended.
+func (s Settings) limitBodies(h http.Handler) http.Handler {
+	if s.ReadTimeout <= 0 {
+		return h
+	}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength != 0 {
+			_ = http.NewResponseController(w).SetReadDeadline(s.Clock().Add(s.ReadTimeout)) // supported by net/http
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
 // limits returns the limits in force. net/http permits heads of 4 KiB above MaxHeaderBytes.
 func (s Settings) limits() (l guard.Limits) {
 	if s.Configured != nil {
--- a/internal/endpoint/idle_test.go
+++ b/internal/endpoint/idle_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -16,8 +17,11 @@
 )
 
 // listenWithin listens with the timeouts of s.
-func listenWithin(t *testing.T, s Settings) *Endpoint {
-	s.Name, s.Address, s.Handler, s.Limits = "callers", netip.MustParseAddrPort("127.0.0.1:0"), http.HandlerFunc(whole), callerlimit.New(callerlimit.Limits{})
+func listenWithin(t *testing.T, s Settings) *Endpoint { return listenHandler(t, s, whole) }
+
+// listenHandler is listenWithin with another handler.
+func listenHandler(t *testing.T, s Settings, h http.HandlerFunc) *Endpoint {
+	s.Name, s.Address, s.Handler, s.Limits = "callers", netip.MustParseAddrPort("127.0.0.1:0"), h, callerlimit.New(callerlimit.Limits{})
 	s.Stopping, s.Clock, s.Log = errStopping, time.Now, hclog.NewNullLogger()
 	e, err := Listen(s)
 	require.NoError(t, err)
@@ -43,6 +47,44 @@
 	assert.ErrorIs(t, err, io.EOF)
 }
 
+// TestFirstRequestHasTheTimeOfOthers guards against a request within the limits that gets no response, or
+// whose body is cut off, because the time for it began when its connection was opened.
+func TestFirstRequestHasTheTimeOfOthers(t *testing.T) {
+	const readTimeout = time.Second
+	c := dial(t, listenHandler(t, Settings{ReadHeaderTimeout: readTimeout, ReadTimeout: readTimeout, IdleTimeout: time.Minute}, readBody))
+	for _, framing := range []string{"Content-Length: 2\r\n\r\na|a", "Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n|1\r\na\r\n0\r\n\r\n"} {
+		first, second, _ := strings.Cut(framing, "|")
+		time.Sleep(readTimeout * 6 / 5)
+		c.send("POST / HTTP/1.1\r\nHost: h\r\n" + first)
+		time.Sleep(readTimeout / 2)
+		c.send(second)
+		status, _ := c.receive()
+		assert.Equal(t, http.StatusOK, status, framing)
+	}
+}
+
+// TestBodiesEnd guards against bodies without end that are read for good, whether or not the handler reads
+// them.
+func TestBodiesEnd(t *testing.T) {
+	for name, h := range map[string]http.HandlerFunc{"read": readBody, "unread": whole} {
+		e := listenHandler(t, Settings{ReadTimeout: 100 * time.Millisecond, IdleTimeout: time.Minute}, h)
+		for _, framing := range []string{"Content-Length: 2\r\n\r\na", "Transfer-Encoding: chunked\r\n\r\n1\r\n"} {
+			c := dial(t, e)
+			c.send("POST / HTTP/1.1\r\nHost: h\r\n" + framing)
+			c.receive()
+			_, err := c.responses.ReadByte()
+			assert.ErrorIs(t, err, io.EOF, "%s, %s", name, framing)
+		}
+	}
+}
+
+// readBody responds with status 400 if the body cannot be read.
+func readBody(w http.ResponseWriter, r *http.Request) {
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+	}
+}
+
 // TestUnusedConnectionEnds guards against connections on which nothing ever arrives.
 func TestUnusedConnectionEnds(t *testing.T) {
 	e := listenWithin(t, Settings{ReadHeaderTimeout: time.Minute, IdleTimeout: 50 * time.Millisecond})
