guard: a lower limit for heads applies from the next head on

Cause: the time of a head was compared with the limit in force at each read, so that a configuration with a lower headerTimeoutMs ended heads with 408 that had begun under the higher one, against what Limits says.

Evidence: TestHeadTimeIsNotShortened fails on the code before.

Change: the limit at the start of a head is kept, and the higher one of it and the present one applies.

Result: the tests of internal/guard and internal/endpoint pass with -race.

--- a/internal/guard/timing.go
+++ b/internal/guard/timing.go
@@ -30,12 +30,13 @@
 // timing holds what the end of a connection and the deadline of its reader follow from. It is guarded
 // by conn.mu.
 type timing struct {
-	ending    bool      // closed as soon as it is not in use
-	deadline  time.Time // that the server has set for reads
-	applied   time.Time // deadline in force
-	idleSince time.Time // zero unless the connection is idle
-	headSince time.Time // zero unless a part of a head has arrived
-	looked    bool      // read once more since the connection became idle
+	ending    bool          // closed as soon as it is not in use
+	deadline  time.Time     // that the server has set for reads
+	applied   time.Time     // deadline in force
+	idleSince time.Time     // zero unless the connection is idle
+	headSince time.Time     // zero unless a part of a head has arrived
+	looked    bool          // read once more since the connection became idle
+	headLimit time.Duration // for heads, in force at headSince
 }
 
 // limits returns the limits in force.
@@ -61,8 +62,8 @@
 	switch {
 	case c.ending && !c.inUse:
 		return past
-	case !c.headSince.IsZero() && limits.HeadTimeout > 0:
-		t = c.headSince.Add(limits.HeadTimeout)
+	case !c.headSince.IsZero() && c.headTimeout() > 0:
+		t = c.headSince.Add(c.headTimeout())
 	case !c.idleSince.IsZero() && limits.IdleTimeout > 0:
 		t = c.idleSince.Add(limits.IdleTimeout)
 	}
@@ -72,6 +73,21 @@
 	return t
 }
 
+// beginHead begins the time of a head. c.mu must be held.
+func (c *conn) beginHead(now time.Time) {
+	c.idleSince, c.headSince, c.headLimit = time.Time{}, now, c.guard.limits().HeadTimeout
+}
+
+// headTimeout returns the limit for the current head, or 0 if there is none: the higher one of those in
+// force at its start and now. c.mu must be held.
+func (c *conn) headTimeout() time.Duration {
+	limit := c.guard.limits().HeadTimeout
+	if limit <= 0 || c.headLimit <= 0 {
+		return 0
+	}
+	return max(limit, c.headLimit)
+}
+
 // applyDeadline sets the deadline of the reader. c.mu must be held.
 func (c *conn) applyDeadline(t time.Time) error {
 	if t.Equal(c.applied) {
@@ -105,7 +121,7 @@
 func (c *conn) headIsLate(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	timeout := c.guard.limits().HeadTimeout
+	timeout := c.headTimeout()
 	return !c.headSince.IsZero() && timeout > 0 && now.Sub(c.headSince) >= timeout
 }
 
@@ -132,7 +148,7 @@
 	case c.scanner.Complete():
 		c.idleSince, c.headSince = time.Time{}, time.Time{}
 	case c.scanner.Started() && c.headSince.IsZero():
-		c.idleSince, c.headSince = time.Time{}, now
+		c.beginHead(now)
 	}
 	_ = c.applyDeadline(c.readDeadline()) // fails only if the connection is closed
 }
@@ -149,7 +165,7 @@
 func (c *conn) startTime(now time.Time) {
 	c.idleSince, c.headSince, c.looked = now, time.Time{}, false
 	if c.scanner.Started() {
-		c.idleSince, c.headSince = time.Time{}, now
+		c.beginHead(now)
 	}
 	_ = c.applyDeadline(c.readDeadline()) // fails only if the connection is closed
 }
--- a/internal/guard/timing_test.go
+++ b/internal/guard/timing_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"os"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -104,3 +105,32 @@
 	require.NoError(t, c.SetReadDeadline(past))
 	assert.Equal(t, past, c.applied, "the server's own deadlines apply too")
 }
+
+// TestHeadTimeIsNotShortened guards against a head that is refused because a lower limit has come into
+// force since it began, and against a lower one that does not apply to the next.
+func TestHeadTimeIsNotShortened(t *testing.T) {
+	const longer, shorter = time.Minute, 20 * time.Millisecond
+	var limit atomic.Int64
+	limit.Store(int64(longer))
+	c, far := accept(t, func() Limits { return Limits{HeadTimeout: time.Duration(limit.Load())} })
+	b := make([]byte, 100)
+	read := func(sent string) {
+		_, err := io.WriteString(far, sent)
+		require.NoError(t, err)
+		n, err := c.Read(b)
+		require.NoError(t, err)
+		assert.Equal(t, sent, string(b[:n]))
+	}
+	read("GET / HTTP/1.1\r\n")
+	limit.Store(int64(shorter))
+	for _, part := range []string{"Host: h\r\n", "A: b\r\n", "\r\n"} {
+		time.Sleep(2 * shorter)
+		read(part)
+	}
+	c.endRequest(time.Now())
+	read("GET / HTTP/1.1\r\n")
+	go func() { _, _ = io.Copy(io.Discard, far) }()
+	_, err := c.Read(b)
+	assert.ErrorIs(t, err, io.EOF)
+	assert.True(t, c.refused)
+}
