callerapi: an engine gets the content of a message that the router has read

Cause: like package json, the router takes the last field whose name is "content" in upper or lower case for the content of a message, and sent all of them. An engine that distinguishes case, or takes the first of repeated fields, read another one: with an image in "content" and a text in "Content", the rule that only text is supported did not hold, and an image takes tokens that its bytes do not bound.

Evidence: TestOneContentReachesTheEngine fails on the code before.

Change: a message with several such fields is sent with the text that was read, like one with text parts.

--- a/internal/callerapi/enginebody.go
+++ b/internal/callerapi/enginebody.go
@@ -47,7 +47,7 @@
 }
 
 // writeMessages writes the messages. Lists of text parts are replaced by their joined text, since
-// engines accept only strings.
+// engines accept only strings, and repeated contents by the one that was read.
 func (p *prompt) writeMessages(b *bytes.Buffer, list jsonvalue.Value) {
 	b.WriteByte('[')
 	i := 0
@@ -55,7 +55,7 @@
 		if i > 0 {
 			b.WriteByte(',')
 		}
-		if p.partLists[i] {
+		if p.rewritten[i] {
 			writeMessage(b, m, p.messages[i])
 		} else {
 			writeValue(b, m)
@@ -69,7 +69,7 @@
 func writeMessage(b *bytes.Buffer, m jsonvalue.Value, content string) {
 	b.WriteByte('{')
 	for f := range m.Fields() {
-		if !bytes.EqualFold(f.Name, []byte("content")) {
+		if !isContent(f.Name) {
 			writeField(b, f)
 		}
 	}
--- a/internal/callerapi/enginebody_test.go
+++ b/internal/callerapi/enginebody_test.go
@@ -75,3 +75,22 @@
 	require.Nil(t, refused)
 	assert.EqualValues(t, len(`[{"role":"user","content":"é"}]`)+int(messageOverhead), p.promptBound, "valid text")
 }
+
+// TestOneContentReachesTheEngine guards against parts that only text may have the place of, such as images,
+// which reach an engine because the router reads another field as the content of the message.
+func TestOneContentReachesTheEngine(t *testing.T) {
+	const image = `[{"type":"image_url","image_url":{"url":"http://h/i"}}]`
+	for _, fields := range []string{
+		`"content":` + image + `,"Content":"a"`, `"content":` + image + `,"c\u006fntent":"a"`, `"Content":` + image + `,"content":"a"`,
+		`"content":` + image + `,"CONTENT":[{"type":"text","text":"a"}]`, `"content":` + image + `,"content":"a"`,
+	} {
+		p, refused := parsePrompt([]byte(`{"model":"m","messages":[{"name":"n",` + fields + `,"role":"user"}]}`))
+		require.Nil(t, refused, fields)
+		chat, refused := p.newChat(caller{application: &configuration.Application{MaxOutput: 100}}, &configuration.Model{})
+		require.Nil(t, refused, fields)
+		var sent struct{ Messages json.RawMessage }
+		require.NoError(t, json.Unmarshal(chat.Body, &sent))
+		assert.JSONEq(t, `[{"name":"n","role":"user","content":"a"}]`, string(sent.Messages), fields)
+		assert.NotContains(t, string(chat.Body), "image_url", fields)
+	}
+}
--- a/internal/callerapi/prompt.go
+++ b/internal/callerapi/prompt.go
@@ -37,7 +37,7 @@
 	text         string                     // the texts of all messages, joined
 	promptBound  tokens.Count               // upper bound of the prompt's tokens
 	messages     []string                   // the texts of the messages
-	partLists    map[int]bool               // the messages whose content is a list of text parts
+	rewritten    map[int]bool               // the messages whose content is sent as the text that was read
 	body         jsonvalue.Value            // of the request
 	fields       map[string]jsonvalue.Value // those of fieldsRead that the body has
 }
@@ -167,7 +167,7 @@
 	if count == 0 || count > maxMessages {
 		return refusal.New(refusal.BadRequest, "messages: 1 to %d are required", maxMessages)
 	}
-	p.partLists = make(map[int]bool)
+	p.rewritten = make(map[int]bool)
 	for m := range list.Elements() {
 		if refused := p.readMessage(m); refused != nil {
 			return refused
@@ -210,13 +210,27 @@
 	if refused != nil {
 		return refused
 	}
-	if isList {
-		p.partLists[i] = true
+	if isList || repeatsContent(value) {
+		p.rewritten[i] = true
 	}
 	p.messages = append(p.messages, content)
 	return nil
 }
 
+// repeatsContent reports whether a message has several fields of which an engine may take another one
+// for its content than package json, which does not distinguish upper and lower case.
+func repeatsContent(message jsonvalue.Value) bool {
+	count := 0
+	for f := range message.Fields() {
+		if isContent(f.Name) {
+			count++
+		}
+	}
+	return count > 1
+}
+
+func isContent(name []byte) bool { return bytes.EqualFold(name, []byte("content")) }
+
 // requireList returns the refusal of a field that is neither a list nor null.
 func requireList(name string, value jsonvalue.Value) *refusal.Refusal {
 	if value == nil || value.IsList() {
