--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -48,15 +48,15 @@
 	Handler http.Handler
 	// Wrap returns a listener that is used instead of the endpoint's own.
 	Wrap    func(net.Listener) net.Listener
-	Limits  *callerlimit.Registry
-	Refusal []byte // see guard.Settings
+	Limits  *callerlimit.Registry // of connections and of the memory of requests
+	Refusal []byte                // see guard.Settings
 
 	// ReadHeaderTimeout begins with the first byte of a head, and ReadTimeout, which is that of a body,
 	// with the end of the head. IdleTimeout also bounds the time until the first request of a connection.
 	ReadHeaderTimeout, ReadTimeout, IdleTimeout time.Duration
 	MaxHeaderBytes                              int
-	// Configured returns the limits of the configuration in force. It must not block. Those above bound
-	// them, and apply where they are zero. It is optional.
+	// Configured returns the limits of the configuration in force. It must not block. The limits above
+	// bound them, and apply where they are zero.
 	Configured func() guard.Limits
 
 	// UnusedWait is how long a connection on which no request has arrived is kept during a stop,
