guard: an empty line in two parts is not the beginning of a request

Cause: net/http reads one byte ahead while a request is in progress. If the empty line that follows arrives then, its first byte is read alone, and the CR counts as the beginning of a head; the LF that shows otherwise did not take that back. A stop waited for the rest of the head, and without one the caller would have got 408. Change: once only empty lines have arrived, the connection is idle again.

--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -262,8 +262,11 @@
 	defer c.mu.Unlock()
 	part = c.scanner.Part()
 	taken = c.scanner.Advance(b)
-	if part == requestframe.Body || c.scanner.Started() || c.scanner.Complete() { // not with an empty line
+	switch {
+	case part == requestframe.Body || c.scanner.Started() || c.scanner.Complete():
 		c.used, c.inUse = true, true
+	case !c.busy: // only empty lines have arrived
+		c.inUse = false
 	}
 	if !c.busy || part == requestframe.Body {
 		c.whole = c.scanner.Part() == requestframe.Head && (part == requestframe.Body || c.scanner.Complete())
--- a/internal/guard/timing.go
+++ b/internal/guard/timing.go
@@ -149,6 +149,8 @@
 		c.idleSince, c.headSince = time.Time{}, time.Time{}
 	case c.scanner.Started() && c.headSince.IsZero():
 		c.beginHead(now)
+	case !c.inUse && !c.headSince.IsZero(): // it was an empty line, in two parts
+		c.idleSince, c.headSince = now, time.Time{}
 	}
 	_ = c.applyDeadline(c.readDeadline()) // fails only if the connection is closed
 }
--- a/internal/guard/timing_test.go
+++ b/internal/guard/timing_test.go
@@ -134,3 +134,29 @@
 	assert.ErrorIs(t, err, io.EOF)
 	assert.True(t, c.refused)
 }
+
+// TestEmptyLineInTwoPartsIsNoRequest guards against a stop that waits for a caller that has sent an
+// empty line, of which the first byte was read ahead, and against a 408 for it.
+func TestEmptyLineInTwoPartsIsNoRequest(t *testing.T) {
+	c, far := newConn(t, callerlimit.New(callerlimit.Limits{}), func(*conn) {})
+	c.guard.settings.Limits = func() Limits { return Limits{HeadTimeout: time.Minute} }
+	b := make([]byte, 10)
+	for _, part := range []string{"\r", "\n"} {
+		go func() { _, _ = io.WriteString(far, part) }()
+		_, err := c.Read(b)
+		require.NoError(t, err)
+	}
+	assert.True(t, c.headSince.IsZero())
+	c.guard.Drain(time.Now())
+	ended := make(chan error, 1)
+	go func() {
+		_, err := c.Read(b)
+		ended <- err
+	}()
+	select {
+	case err := <-ended:
+		assert.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	case <-time.After(10 * time.Second):
+		t.Error("it is still read")
+	}
+}
