--- a/review/driver2/stage.go
+++ b/review/driver2/stage.go
@@ -43,10 +43,12 @@
 	trouble bool
 	dir     string // temporary
 	service *keyvalue.Service
-	store   string // address
+	backend *keyvalue.Client // of the routers; faults are injected here
+	store   string           // address
 	server  *httptest.Server
 	fronts  []*front
 	begin   time.Time
+	oneZone bool // all routers are in one zone
 
 	mu     sync.Mutex
 	record *os.File
@@ -67,7 +69,8 @@
 		trouble: os.Getenv("TROUBLE") != "0", dir: dir, record: record, begin: time.Now(),
 		service: keyvalue.New(keyvalue.Settings{Seed: 1, Clock: time.Now}),
 	}
-	s.server = httptest.NewServer(standin.New(s.service.Client()))
+	s.backend = s.service.Client()
+	s.server = httptest.NewServer(standin.New(s.backend))
 	s.store = s.server.Listener.Addr().String()
 	return s, nil
 }
@@ -123,6 +126,14 @@
 // outgoing connections, so that none is taken while a process is down.
 var nextPort atomic.Int64
 
+// zone returns the zone of a router.
+func (s *stage) zone(n int) string {
+	if s.oneZone {
+		return "zone-0"
+	}
+	return fmt.Sprintf("zone-%d", n%3)
+}
+
 // freeAddress returns a loopback address that is free.
 func freeAddress() string {
 	const firstPort, ports = 20_000, 10_000
@@ -150,7 +161,7 @@
 			f.peer = seed
 		}
 		data, err := json.Marshal(map[string]any{
-			"vm": f.name, "failureDomain": fmt.Sprintf("zone-%d", i%3), "region": "region",
+			"vm": f.name, "failureDomain": s.zone(i), "region": "region",
 			"callerAddress": f.address, "readyAddress": f.ready, "readyPath": "/api/ready", "peerAddress": f.peer,
 			"seeds": []string{seed}, "store": s.store, "log": map[string]any{"level": "info", "form": "json"},
 			"repeats":        map[string]any{"ratio": 0.2, "slack": 58, "windowSeconds": 10},
