--- a/review/driver2/crash.go
+++ b/review/driver2/crash.go
@@ -80,6 +80,7 @@
 		}
 		handle = func(q *run) {
 			if !strings.Contains(q.body, "crashing") || !s.trouble {
+				s.note("worker %s runs request %s", q.worker.id, q.id)
 				time.Sleep(20 * time.Millisecond)
 				if p.service == "llm" {
 					q.stream(10)
@@ -134,10 +135,12 @@
 			case <-time.After(soundPeriod):
 			}
 			wg.Go(func() {
-				a := send(s.fronts[n%3].address, ask{
-					id: fmt.Sprintf("sound-%d", n), host: "site.example", path: "/dossier/x", key: "key-one", body: fmt.Sprintf("sound %d", n),
+				f, id := s.fronts[n%3], fmt.Sprintf("sound-%d", n)
+				a := send(f.address, ask{
+					id: id, host: "site.example", path: "/dossier/x", key: "key-one", body: fmt.Sprintf("sound %d", n),
 					tokens: "300,40", prefix: fmt.Sprintf("aa%02x:200,bb%04x:100", n%8, n), deadline: 10 * time.Second,
 				})
+				s.note("request %s to %s ends: status %d, complete %v, %v", id, f.name, a.status, a.complete, a.err)
 				sound.Add(1)
 				if a.status == 200 && a.complete {
 					served.Add(1)
--- a/review/driver2/memory.go
+++ b/review/driver2/memory.go
@@ -62,6 +62,7 @@
 	}
 	s.put("op/config", plentyConfiguration)
 	handle := func(q *run) {
+		s.note("worker %s runs request %s", q.worker.id, q.id)
 		if !strings.HasPrefix(q.id, "crowd") {
 			time.Sleep(20 * time.Millisecond)
 			q.stream(10)
@@ -155,10 +156,12 @@
 		case n%50 == 0:
 			s.note("%s holds %d bytes", target.name, used)
 			wg.Go(func() {
+				id := fmt.Sprintf("ordinary-%d-%d", n, time.Now().UnixNano())
 				a := send(target.address, ask{
-					id: fmt.Sprintf("ordinary-%d-%d", n, time.Now().UnixNano()), host: "site.example", path: "/dossier/x", key: "key-one", body: "ordinary",
+					id: id, host: "site.example", path: "/dossier/x", key: "key-one", body: "ordinary",
 					tokens: "300,40", prefix: fmt.Sprintf("cc:200,dd%04x:100", n), deadline: 10 * time.Second,
 				})
+				s.note("request %s to %s ends: status %d, complete %v, %v", id, target.name, a.status, a.complete, a.err)
 				sound.Add(1)
 				if a.status == 200 && a.complete {
 					served.Add(1)
--- a/review/driver2/prepaid.go
+++ b/review/driver2/prepaid.go
@@ -44,6 +44,7 @@
 			q.reject()
 			return
 		}
+		s.note("worker %s runs request %s of tenant %s", q.worker.id, q.id, q.tenant)
 		if _, again := ran.LoadOrStore(q.id, true); !again && q.tenant == "one" {
 			read.Add(q.prompt) // counted once per request
 		}
@@ -78,10 +79,13 @@
 	for c := range prepaidCallers {
 		callers.Go(func() {
 			for n := 0; time.Now().Before(end); n++ {
-				a := send(s.fronts[(c+n)%3].address, ask{
-					id: fmt.Sprintf("ordinary-%d-%d", c, n), host: "site.example", path: "/dossier/x", key: "key-one", body: "ordinary",
+				f, id := s.fronts[(c+n)%3], fmt.Sprintf("ordinary-%d-%d", c, n)
+				s.note("request %s is sent to %s", id, f.name)
+				a := send(f.address, ask{
+					id: id, host: "site.example", path: "/dossier/x", key: "key-one", body: "ordinary",
 					tokens: fmt.Sprintf("%d,%d", promptTokens, outputTokens), prefix: fmt.Sprintf("dd%02x:500,ee%x%x:500", c, c, n), deadline: 10 * time.Second,
 				})
+				s.note("request %s ends: status %d, %d events, %v", id, a.status, a.events(), a.err)
 				switch {
 				case a.status == 200:
 					served.Add(1)
@@ -90,7 +94,6 @@
 					refused.Add(1)
 				default:
 					other.Add(1)
-					s.note("ordinary request ends: status %d, %v", a.status, a.err)
 				}
 				if a.status != 200 {
 					time.Sleep(200 * time.Millisecond)
