mirror, transport: connections to other routers can be opened by the test

With it the dial of the client that fetches copies is bounded by the read timeout: net/http went on to dial a VM without power after the request had been canceled, until the kernel gave up.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -57,6 +57,7 @@
 	"example.org/lagoonfork/internal/roster"
 	"example.org/lagoonfork/internal/route"
 	"example.org/lagoonfork/internal/share"
+	"example.org/lagoonfork/internal/transport"
 	"example.org/lagoonfork/internal/wallet"
 	"example.org/lagoonfork/pkg/ident"
 	"example.org/lagoonfork/pkg/store"
@@ -135,6 +136,8 @@
 	metrics *figures.Metrics
 	outage  outage.Outage // of the key-value service
 
+	dialPeer transport.DialFunc // of the mirrors; nil for the default
+
 	congestion  *congestion.Meter                // of the VM's link
 	linkWasFull atomic.Bool                      // when it was asked last
 	limits      map[string]*callerlimit.Registry // of the endpoints, by name
@@ -185,7 +188,6 @@
 
 func (r *Router) build() {
 	s := r.settings
-	configuration, upstreams := s.Translator.Prefixes()
 	r.congestion = congestion.New(congestion.Settings{BytesPerSecond: s.LinkBytes, Clock: s.Clock})
 	r.limits = map[string]*callerlimit.Registry{
 		"callers": callerlimit.New(s.Resources.Callers()), "ready": callerlimit.New(s.Resources.Ready()), "peers": callerlimit.New(s.Resources.Peers()),
@@ -226,20 +228,7 @@
 		Timeout:  storeTimeout,
 		Log:      s.Log,
 	})
-	r.routerRecords = r.newMirror(mirror.Settings{
-		Name: "routers", Prefix: membership.KeyPrefix, Interval: recordInterval, PollWait: relaxedPollWait, RelayWait: relaxedPollWait, MinCallInterval: relaxedCallInterval,
-	})
-	r.members.setMirror(r.routerRecords)
-	r.configurations = r.newMirror(mirror.Settings{
-		Name: operatorMirror, Prefix: configuration, Interval: mirrorInterval, PollWait: mirrorPollWait, RelayWait: relayWait, Older: s.Translator.OlderConfiguration, LearnRecent: learnTimeout,
-	})
-	r.upstreams = r.newMirror(mirror.Settings{
-		Name: "upstreams", Prefix: upstreams, Interval: mirrorInterval, PollWait: mirrorPollWait, RelayWait: relayWait,
-		Equivalent: s.Translator.SameUpstream, Older: s.Translator.OlderUpstream, LearnRecent: learnTimeout,
-	})
-	r.quarantineList = r.newMirror(mirror.Settings{
-		Name: "suspects", Prefix: quarantine.Key, Interval: mirrorInterval, PollWait: relaxedPollWait, RelayWait: relayWait, MinCallInterval: relaxedCallInterval,
-	})
+	r.buildMirrors()
 	r.lending = lending.New(lending.Settings{
 		Self: s.VM, Incarnation: s.Incarnation, FailureDomain: s.FailureDomain, Members: r.members.all,
 		Timeout: loanTimeout, LoanFailoverDelay: loanFailoverDelay, SpareFailoverDelay: spareFailoverDelay,
--- a/internal/edge/mirrors.go
+++ b/internal/edge/mirrors.go
@@ -4,9 +4,31 @@
 	"net/netip"
 	"slices"
 
+	"example.org/lagoonfork/internal/membership"
 	"example.org/lagoonfork/internal/mirror"
+	"example.org/lagoonfork/internal/quarantine"
 )
 
+// buildMirrors starts the mirrors.
+func (r *Router) buildMirrors() {
+	t := r.settings.Translator
+	configuration, upstreams := t.Prefixes()
+	r.routerRecords = r.newMirror(mirror.Settings{
+		Name: "routers", Prefix: membership.KeyPrefix, Interval: recordInterval, PollWait: relaxedPollWait, RelayWait: relaxedPollWait, MinCallInterval: relaxedCallInterval,
+	})
+	r.members.setMirror(r.routerRecords)
+	r.configurations = r.newMirror(mirror.Settings{
+		Name: operatorMirror, Prefix: configuration, Interval: mirrorInterval, PollWait: mirrorPollWait, RelayWait: relayWait, Older: t.OlderConfiguration, LearnRecent: learnTimeout,
+	})
+	r.upstreams = r.newMirror(mirror.Settings{
+		Name: "upstreams", Prefix: upstreams, Interval: mirrorInterval, PollWait: mirrorPollWait, RelayWait: relayWait,
+		Equivalent: t.SameUpstream, Older: t.OlderUpstream, LearnRecent: learnTimeout,
+	})
+	r.quarantineList = r.newMirror(mirror.Settings{
+		Name: "suspects", Prefix: quarantine.Key, Interval: mirrorInterval, PollWait: relaxedPollWait, RelayWait: relayWait, MinCallInterval: relaxedCallInterval,
+	})
+}
+
 // newMirror returns a mirror with m's settings and those that all mirrors share.
 func (r *Router) newMirror(m mirror.Settings) *mirror.Mirror {
 	s := r.settings
@@ -17,6 +39,7 @@
 	m.OnRecovery = r.resumeAfterOutage
 	m.OnRestoration = func() { r.presence.Wake() }
 	m.Outage = &r.outage
+	m.Dial = r.dialPeer
 	if !slices.Contains(s.Seeds, s.PeerAddress) {
 		m.BootstrapAttempts = bootstrapAttempts
 	}
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -54,6 +54,7 @@
 	"example.org/lagoonfork/internal/event"
 	"example.org/lagoonfork/internal/outage"
 	"example.org/lagoonfork/internal/peerlink"
+	"example.org/lagoonfork/internal/transport"
 	"example.org/lagoonfork/pkg/store"
 )
 
@@ -69,8 +70,8 @@
 }
 
 // Settings configures a Mirror. All fields but Peers, Relays, RelayWait,
-// BootstrapAttempts, LearnRecent, PeersKnown, MinCallInterval, Equivalent, Older, Outage, OnRecovery and
-// OnRestoration are required.
+// BootstrapAttempts, LearnRecent, PeersKnown, MinCallInterval, Equivalent, Older, Outage, OnRecovery,
+// OnRestoration and Dial are required.
 type Settings struct {
 	Source Source
 	// Name identifies the mirror within the router. Prefix selects the keys that it
@@ -125,8 +126,10 @@
 	// OnRestoration, if set, is called when the service turns out to have been restored from
 	// an older copy. It must not block or call the mirror.
 	OnRestoration func()
-	Clock         func() time.Time
-	Log           hclog.Logger
+	// Dial opens connections to other routers. It may be nil.
+	Dial  transport.DialFunc
+	Clock func() time.Time
+	Log   hclog.Logger
 }
 
 // Mirror is a copy of the entries. Its methods are safe for concurrent use.
@@ -159,14 +162,14 @@
 	m := &Mirror{
 		settings:          s,
 		view:              newView(s.Equivalent),
-		relayLinks:        peerlink.New(peerlink.Settings{Timeout: s.RelayWait + s.Timeout, Clock: s.Clock}),
+		relayLinks:        peerlink.New(peerlink.Settings{Dial: s.Dial, Timeout: s.RelayWait + s.Timeout, Clock: s.Clock}),
 		relayStopped:      make(chan struct{}),
 		probes:            make(relayProbes),
 		bootstrapAttempts: s.BootstrapAttempts,
 		changed:           make(chan struct{}),
 	}
 	m.view.older = s.Older
-	m.client.Transport = &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxPeerHeaderBytes}
+	m.client.Transport = &http.Transport{DialContext: s.Dial.Within(s.Timeout), DisableKeepAlives: true, MaxResponseHeaderBytes: maxPeerHeaderBytes}
 	m.tomb.Go(m.run)
 	return m
 }
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -19,7 +19,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -41,8 +40,10 @@
 	maxResponseBytes = 4 << 20
 )
 
-// Settings configures Links. All fields are required.
+// Settings configures Links. All fields but Dial are required.
 type Settings struct {
+	// Dial opens connections. It may be nil.
+	Dial transport.DialFunc
 	// Timeout bounds one call. A large response may take longer; see transfer.Limit.
 	Timeout time.Duration
 	Clock   func() time.Time
@@ -118,8 +119,7 @@
 		return
 	}
 	l.checks.Go(func() {
-		dialer := net.Dialer{Timeout: l.settings.Timeout}
-		c, err := dialer.DialContext(l.ctx, "tcp", address.String())
+		c, err := l.settings.Dial.Within(l.settings.Timeout)(l.ctx, "tcp", address.String())
 		if err != nil {
 			return
 		}
@@ -160,7 +160,7 @@
 	defer l.mu.Unlock()
 	p := l.peers[address]
 	if p == nil {
-		p = &peer{transport: transport.New(transport.Settings{ConnectTimeout: l.settings.Timeout, IdleLimit: idleTimeout})}
+		p = &peer{transport: transport.New(transport.Settings{Dial: l.settings.Dial, ConnectTimeout: l.settings.Timeout, IdleLimit: idleTimeout})}
 		l.peers[address] = p
 	}
 	if l.settings.Clock().Before(p.backoffUntil) {
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -63,8 +63,30 @@
 	Pooled
 )
 
+// DialFunc opens a connection, as net.Dialer.DialContext does. If it is nil, that is used.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Within returns a function that opens connections with dial and gives up after the timeout, unless
+// that is zero. The context alone does not bound it in net/http, which goes on to dial after the
+// request has been canceled.
+func (dial DialFunc) Within(timeout time.Duration) DialFunc {
+	if dial == nil {
+		dial = new(net.Dialer).DialContext
+	}
+	if timeout == 0 {
+		return dial
+	}
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, timeout)
+		defer cancel()
+		return dial(ctx, network, address)
+	}
+}
+
 // Settings configures a Transport.
 type Settings struct {
+	// Dial opens connections. It may be nil.
+	Dial DialFunc
 	// ConnectTimeout bounds the time to open a connection. Zero means no limit.
 	ConnectTimeout time.Duration
 	// IdleLimit is how long a connection may be idle before it is closed.
@@ -74,7 +96,7 @@
 // Transport holds the connections to one upstream. Its methods are safe for
 // concurrent use.
 type Transport struct {
-	dialer        net.Dialer
+	dialRaw       DialFunc
 	pooled, fresh *http.Transport
 
 	mu     sync.Mutex
@@ -84,10 +106,7 @@
 
 // New returns a Transport without connections.
 func New(s Settings) *Transport {
-	t := &Transport{
-		dialer: net.Dialer{Timeout: s.ConnectTimeout},
-		open:   make(map[*conn]struct{}),
-	}
+	t := &Transport{dialRaw: s.Dial.Within(s.ConnectTimeout), open: make(map[*conn]struct{})}
 	t.pooled = t.newHTTPTransport(s)
 	t.fresh = t.newHTTPTransport(s)
 	t.fresh.DisableKeepAlives = true
@@ -277,7 +296,7 @@
 }
 
 func (t *Transport) dial(ctx context.Context, network, address string) (net.Conn, error) {
-	raw, err := t.dialer.DialContext(ctx, network, address)
+	raw, err := t.dialRaw(ctx, network, address)
 	if err != nil {
 		return nil, err
 	}
