--- a/internal/edge/defaults.go
+++ b/internal/edge/defaults.go
@@ -35,6 +35,11 @@
 	// for which the response may be on its way, it leaves time to read the key-value
 	// service itself once the relay stops responding.
 	relayWait = 400 * time.Millisecond
+	// mirrorMaxAge is the time in which a change has to take effect.
+	mirrorMaxAge = 2 * time.Second
+	// quarantineMaxAge is the maximum age of the quarantine list. Routers also tell each
+	// other of changes directly.
+	quarantineMaxAge = 6 * time.Second
 	// operatorMirror is the name of the mirror of the configuration and the closed failure
 	// domains. Routers of earlier releases have a mirror "configuration" without the closed
 	// domains, whose copies and changes must not be taken for those of this one.
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -38,6 +38,7 @@
 			age, _ := m.Age(r.settings.Clock())
 			return age.Milliseconds()
 		})
+		r.metrics.Gauge(name+"CopyAgeMillis", func() any { return m.CopyAge(r.settings.Clock()).Milliseconds() })
 		r.metrics.Add(name+"Reads", m.ReadMetrics())
 	}
 }
--- a/internal/edge/mirrors.go
+++ b/internal/edge/mirrors.go
@@ -15,17 +15,20 @@
 	configuration, upstreams := t.Prefixes()
 	r.routerRecords = r.newMirror(mirror.Settings{
 		Name: "routers", Prefix: membership.KeyPrefix, Interval: recordInterval, PollWait: relaxedPollWait, RelayWait: relaxedPollWait, MinCallInterval: relaxedCallInterval,
+		MaxAge: presenceTTL,
 	})
 	r.members.setMirror(r.routerRecords)
 	r.configurations = r.newMirror(mirror.Settings{
-		Name: operatorMirror, Prefix: configuration, Interval: mirrorInterval, PollWait: mirrorPollWait, RelayWait: relayWait, Older: t.OlderConfiguration, LearnRecent: learnTimeout,
+		Name: operatorMirror, Prefix: configuration, Interval: mirrorInterval, PollWait: mirrorPollWait, RelayWait: relayWait, MaxAge: mirrorMaxAge,
+		Older: t.OlderConfiguration, LearnRecent: learnTimeout,
 	})
 	r.upstreams = r.newMirror(mirror.Settings{
-		Name: "upstreams", Prefix: upstreams, Interval: mirrorInterval, PollWait: mirrorPollWait, RelayWait: relayWait,
+		Name: "upstreams", Prefix: upstreams, Interval: mirrorInterval, PollWait: mirrorPollWait, RelayWait: relayWait, MaxAge: mirrorMaxAge,
 		Equivalent: t.SameUpstream, Older: t.OlderUpstream, LearnRecent: learnTimeout,
 	})
 	r.quarantineList = r.newMirror(mirror.Settings{
 		Name: "suspects", Prefix: quarantine.Key, Interval: mirrorInterval, PollWait: relaxedPollWait, RelayWait: relayWait, MinCallInterval: relaxedCallInterval,
+		MaxAge: quarantineMaxAge,
 	})
 }
 
--- a/internal/event/store.go
+++ b/internal/event/store.go
@@ -26,6 +26,8 @@
 		"The service came back from an older copy: its era is later than that of the router's copy of the entries. Fields: mirror, era, revision, heldEra, heldRevision.")
 	ConnectionSilent = define(813, "connection to the key-value service silent",
 		"A call got no response on a connection that had worked before. The idle connections were closed, and the call is repeated on a new one. Fields: mirror, error.")
+	CopyOverdue = define(814, "copy read again too late",
+		"The entries were older than allowed when they were read again, although the service could be read. Fields: mirror, age (of the entries), late (by how much), waits (what was waited for since the read before, with the time since it began and how long it took).")
 	RelayFailed = define(811, "relay failed",
 		"The router through which this router reads the service did not respond, refused, or its response did not arrive in time. The service or another router is read instead. Of refusals in series, the first is logged. Fields: mirror, relay, revision and era (already held), error (which says how much had arrived).")
 )
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -70,7 +70,7 @@
 }
 
 // Settings configures a Mirror. All fields but Peers, Relays, RelayWait,
-// BootstrapAttempts, LearnRecent, PeersKnown, MinCallInterval, Equivalent, Older, Outage, OnRecovery,
+// BootstrapAttempts, LearnRecent, PeersKnown, MinCallInterval, MaxAge, Equivalent, Older, Outage, OnRecovery,
 // OnRestoration and Dial are required.
 type Settings struct {
 	Source Source
@@ -110,6 +110,10 @@
 	// mirrors of a router that uses a relay. It suits entries that may be some
 	// seconds old.
 	MinCallInterval time.Duration
+	// MaxAge is the maximum time from one read of the service itself, by this router or by one
+	// that it reads through, to the next. Zero means no maximum. After a failed call it is at
+	// least maxRecoveryTime, from the beginning of that call on.
+	MaxAge time.Duration
 	// Equivalent reports whether two values of an entry are equivalent to the router.
 	// A change to an equivalent value neither wakes waiting goroutines nor is relayed.
 	// The default is bytes.Equal.
@@ -146,6 +150,7 @@
 
 	mu                  sync.Mutex
 	probes              relayProbes
+	waits               waitLog // since the service itself was last read
 	view                view
 	initialized         bool
 	lastReadFailed      bool
@@ -247,6 +252,17 @@
 	return now.Sub(m.view.lastRead), m.view.revision
 }
 
+// CopyAge returns the time since the service itself was last read, by this router or by one that
+// it reads through. Before the first read it is negative.
+func (m *Mirror) CopyAge(now time.Time) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.view.serviceReadAt.IsZero() {
+		return -1
+	}
+	return now.Sub(m.view.serviceReadAt)
+}
+
 func (m *Mirror) run() error {
 	ctx := m.tomb.Context(context.Background())
 	for {
@@ -254,15 +270,19 @@
 		relayed, err := m.readOnce(ctx)
 		m.recordReadResult(err)
 		if err != nil && m.needsCopies() {
+			began := m.settings.Clock()
 			m.fetchFromPeers(ctx)
+			m.recordWait("copies of other routers", began)
 		}
 		m.expireLapsed()
+		began := m.settings.Clock()
 		select {
-		case <-time.After(m.nextDelay(relayed, m.settings.Clock().Sub(start), err)):
+		case <-time.After(m.nextDelay(relayed, began.Sub(start), err)):
 		case <-recovered:
 		case <-m.tomb.Dying():
 			return nil
 		}
+		m.recordWait("pause", began)
 	}
 }
 
@@ -281,7 +301,9 @@
 	if m.readFromRelay(ctx, from) {
 		return true, nil
 	}
-	if !m.settings.Outage.Allow(m.settings.Clock(), m.callIntervals()) {
+	now, intervals := m.settings.Clock(), m.callIntervals()
+	if !m.settings.Outage.Allow(now, intervals) {
+		m.recordWait("no call, because "+m.settings.Outage.Refusal(now, intervals), now)
 		return false, errCallSkipped
 	}
 	return false, m.readService(ctx, from, initialized)
--- a/internal/mirror/relay.go
+++ b/internal/mirror/relay.go
@@ -118,6 +118,7 @@
 			m.recordSilence(relay)
 		}
 		if err = m.metrics.record(sourceRelay, t, err); err != nil {
+			m.recordWait("relay "+relay.String(), sent)
 			m.logRelayFailure(relay, from, t, err)
 			m.recheckDeletions()
 			return false
@@ -125,7 +126,9 @@
 		m.relayRefused = false
 		now := m.settings.Clock()
 		m.recordOutage(response.Outage.span(response.answeredAt(sent, now), now))
-		m.recordServiceRead(response.serviceReadAt(sent, now))
+		if !m.recordServiceRead(response.serviceReadAt(sent, now)) {
+			m.recordWait("relay "+relay.String()+" with an older copy", sent)
+		}
 		m.applyBatch(store.Batch{Revision: max(from, response.Revision), Events: response.Changes})
 		m.applyConfirmedDeletions(response.confirmedDeletions())
 		return true
--- a/internal/mirror/service.go
+++ b/internal/mirror/service.go
@@ -34,6 +34,7 @@
 			return
 		}
 		err = merry.Prepend(err, "reading the key-value service")
+		m.recordWait("the service", started)
 		if ctx.Err() == nil {
 			m.settings.Outage.Record(started, m.settings.Clock(), err)
 		}
@@ -145,12 +146,18 @@
 }
 
 // recordServiceRead records that the service itself was read at the given time, by
-// this router or by a router from which it got the data.
-func (m *Mirror) recordServiceRead(at time.Time) {
+// this router or by a router from which it got the data. It reports whether that is later
+// than known.
+func (m *Mirror) recordServiceRead(at time.Time) (later bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if at.After(m.serviceReadAt) {
 		m.serviceReadAt = at
 	}
+	if later = at.After(m.view.serviceReadAt); later {
+		m.logOverdue(m.settings.Clock())
+		m.waits = nil
+	}
 	m.view.recordServiceRead(at)
+	return later
 }
--- a/internal/outage/outage.go
+++ b/internal/outage/outage.go
@@ -26,6 +26,7 @@
 	mu           sync.Mutex
 	failing      bool
 	failedAt     time.Time // time of the first failure, while failing
+	lastFailed   time.Time // beginning of the last call that failed
 	lastCall     time.Time // time of the last call to the service
 	lastResponse time.Time // time of the last response of the service
 	last         Span      // the last outage that has ended
@@ -52,17 +53,33 @@
 func (o *Outage) Allow(now time.Time, intervals Intervals) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	interval := intervals.Normal
-	if o.failing {
-		interval = intervals.Failing
-	}
-	if within(now, o.lastCall, interval) || !o.failing && within(now, o.last.Ended, intervals.AfterRecovery) {
+	if o.refusal(now, intervals) != "" {
 		return false
 	}
 	o.lastCall = now
 	return true
 }
 
+// Refusal returns why Allow refuses a call at now, or "" if it does not.
+func (o *Outage) Refusal(now time.Time, intervals Intervals) string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.refusal(now, intervals)
+}
+
+// refusal implements Refusal. o.mu must be held.
+func (o *Outage) refusal(now time.Time, intervals Intervals) string {
+	switch {
+	case o.failing && within(now, o.lastCall, intervals.Failing):
+		return "the service was failing"
+	case !o.failing && within(now, o.lastCall, intervals.Normal):
+		return "the service was called just before"
+	case !o.failing && within(now, o.last.Ended, intervals.AfterRecovery):
+		return "an outage ended just before"
+	}
+	return ""
+}
+
 // within reports whether less than d has passed since then. If the clock was set
 // back, it returns false.
 func within(now, then time.Time, d time.Duration) bool {
@@ -77,7 +94,13 @@
 	defer o.mu.Unlock()
 	if err != nil {
 		o.lastCall = now
-		if !o.failing && !o.lastResponse.After(started) {
+		if o.lastResponse.After(started) {
+			return
+		}
+		if started.After(o.lastFailed) {
+			o.lastFailed = started
+		}
+		if !o.failing {
 			o.failing, o.failedAt = true, now
 		}
 		return
@@ -93,6 +116,14 @@
 	}
 }
 
+// LastFailed returns when the last call began that failed, unless the service responded to
+// another call in between. The service was unavailable at some time after that.
+func (o *Outage) LastFailed() time.Time {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.lastFailed
+}
+
 // Last returns the last outage that has ended.
 func (o *Outage) Last() Span {
 	o.mu.Lock()
