mirror: waits are cut so that the service is read before a copy is too old

Cause: no place held the bound on the age of a copy. It was the sum of waits that chose their lengths for themselves: 1 s for each relay that falls silent, no call for 1 s after an outage or for 1.5 s while the service counts as failing, up to 0.6 s for copies of routers that may be silent too, and a pause after each. Change: a mirror keeps the time by which the service itself has to be read: MaxAge after the last read of it by any router, or 3 s after the beginning of a call that failed. Each wait is cut to what is left of it, less 250 ms; then the service is called, whatever the intervals are.

--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -111,8 +111,9 @@
 	// seconds old.
 	MinCallInterval time.Duration
 	// MaxAge is the maximum time from one read of the service itself, by this router or by one
-	// that it reads through, to the next. Zero means no maximum. After a failed call it is at
-	// least maxRecoveryTime, from the beginning of that call on.
+	// that it reads through, to the next. After a failed call it is at least maxRecoveryTime, from
+	// the beginning of that call on. All waits are cut so that the service is called before.
+	// Zero means no maximum.
 	MaxAge time.Duration
 	// Equivalent reports whether two values of an entry are equivalent to the router.
 	// A change to an equivalent value neither wakes waiting goroutines nor is relayed.
--- a/internal/mirror/peer.go
+++ b/internal/mirror/peer.go
@@ -215,7 +215,7 @@
 		case arrived := <-done:
 			pending--
 			if arrived && enough == nil {
-				enough = time.After(m.settings.Timeout)
+				enough = time.After(m.cut(m.settings.Timeout))
 			}
 		case <-enough:
 			cancel()
@@ -226,7 +226,7 @@
 // fetch requests the copy of one router, whose response has to begin within the timeout.
 func (m *Mirror) fetch(ctx context.Context, peer netip.AddrPort, timeout time.Duration) (s snapshot, err error) {
 	defer func() { err = merry.Prependf(err, "fetching the copy of %s", peer) }()
-	ctx, t, stop := transfer.Limit{Begin: timeout}.Start(ctx, m.settings.Clock)
+	ctx, t, stop := transfer.Limit{Begin: timeout, Header: m.cut(timeout)}.Start(ctx, m.settings.Clock)
 	defer stop()
 	defer func() { err = m.metrics.record(sourcePeer, t, err) }()
 	m.mu.Lock()
--- a/internal/mirror/relay.go
+++ b/internal/mirror/relay.go
@@ -89,7 +89,8 @@
 }
 
 // readFromRelay reads the changes after a revision from the preferred relay that is
-// not in backoff. It returns false if there is none or the relay fails.
+// not in backoff. It returns false if there is none, the relay fails, or the service itself
+// has to be called before a relay would have responded.
 func (m *Mirror) readFromRelay(ctx context.Context, from store.Revision) (ok bool) {
 	if m.settings.Relays == nil {
 		return false
@@ -99,16 +100,22 @@
 	}
 	relays := m.settings.Relays()
 	m.pruneProbes(relays)
+	wait := m.cut(m.settings.RelayWait+relayMargin) - relayMargin
+	if wait < minWait {
+		return false
+	}
 	for _, relay := range relays {
 		if m.relayLinks.InBackoff(relay) || m.skipRelay(ctx, relay, from) {
 			continue
 		}
 		var response changesResponse
 		bases := m.largeEntries()
-		request := changesRequest{After: m.relayRevision(from), WaitMillis: m.settings.RelayWait.Milliseconds(), Held: revisions(bases), Eras: true}
+		request := changesRequest{After: m.relayRevision(from), WaitMillis: wait.Milliseconds(), Held: revisions(bases), Eras: true}
 		sent := m.settings.Clock()
-		relayCtx, t := transfer.Start(ctx, m.settings.Clock)
+		limit := m.settings.RelayWait + m.settings.Timeout
+		relayCtx, t, stop := transfer.Limit{Begin: limit, Header: m.cut(limit)}.Start(ctx, m.settings.Clock)
 		err := m.relayLinks.Post(relayCtx, relay, ChangesPath+m.settings.Name, request, &response)
+		stop()
 		if err == nil {
 			if err = errors.Join(response.checkEra(from), m.unpackChanges(response, bases)); err != nil {
 				m.relayLinks.StartBackoff(relay)
--- a/internal/mirror/schedule.go
+++ b/internal/mirror/schedule.go
@@ -28,9 +28,13 @@
 	return m.settings.Relays != nil && len(m.settings.Relays()) > 0
 }
 
-// callIntervals returns the minimum intervals between two calls to the service.
+// callIntervals returns the minimum intervals between two calls to the service. There are none if
+// a call is due.
 func (m *Mirror) callIntervals() outage.Intervals {
-	if m.usesRelay() {
+	switch {
+	case m.callDue():
+		return outage.Intervals{}
+	case m.usesRelay():
 		return outage.Intervals{Normal: m.settings.MinCallInterval, Failing: followerRetryInterval, AfterRecovery: followerRecoveryDelay}
 	}
 	return outage.Intervals{Failing: m.settings.Interval}
@@ -46,9 +50,19 @@
 }
 
 // nextDelay returns the time until the next read, given the duration and the result
-// of the last one and whether it was relayed. The delay is jittered so that routers
-// started at the same time do not read in step.
+// of the last one and whether it was relayed. After a call that failed, the next one is
+// not made at once, even if it is due.
 func (m *Mirror) nextDelay(relayed bool, elapsed time.Duration, err error) time.Duration {
+	delay := m.interval(relayed, elapsed, err)
+	if err != nil && !errors.Is(err, errCallSkipped) && m.callDue() {
+		return delay
+	}
+	return m.cut(delay)
+}
+
+// interval returns the time until the next read if the service does not have to be called
+// before. It is jittered so that routers started at the same time do not read in step.
+func (m *Mirror) interval(relayed bool, elapsed time.Duration, err error) time.Duration {
 	interval := m.settings.Interval
 	switch {
 	case err != nil:
--- a/internal/transfer/limit.go
+++ b/internal/transfer/limit.go
@@ -27,6 +27,9 @@
 // drips or has no end is cut off.
 type Limit struct {
 	Begin time.Duration
+	// Header is how long the response may take to begin, if that is less than Begin. Zero means
+	// Begin.
+	Header time.Duration
 	// MaxBytes is the maximum size of the body. Zero means no limit.
 	MaxBytes int64
 }
@@ -39,7 +42,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.limit, t.cancel = l, cancel
-	t.timer = time.AfterFunc(l.Begin, func() { cancel(errTooSlow) })
+	begin := l.Begin
+	if l.Header > 0 {
+		begin = min(begin, l.Header)
+	}
+	t.timer = time.AfterFunc(begin, func() { cancel(errTooSlow) })
 	return ctx, t, func() {
 		t.timer.Stop()
 		cancel(nil)
