mirror: the read that ends an outage does not wait for changes

Until the read that finds the service back has ended, all mirrors of the router take it for failing, tokens are not refilled, and no other mirror may call the service for 1.5 s. Cause: a router that reads the service itself waits for changes also in that read, 0.9 s for the configuration and 4 s for the quarantine list and the routers' records. Change: while the service is failing, reads do not wait. The response ends the outage at once.

--- a/internal/mirror/age_test.go
+++ b/internal/mirror/age_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"expvar"
 	"net/http"
 	"net/netip"
 	"sync/atomic"
@@ -225,3 +226,31 @@
 		require.NoError(t, m.Close())
 	})
 }
+
+// TestEndOfOutageIsNoticedAtOnce guards against a read that waits for changes although the service is
+// failing: until it ends, all mirrors of the router take the service for unavailable, and none of
+// them may call it.
+func TestEndOfOutageIsNoticedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const interval, pollWait = 600 * time.Millisecond, 4 * time.Second
+		source := mirrorsource.New(keyvalue.New(keyvalue.Settings{Seed: 1, Clock: time.Now}).Client())
+		shared := new(outage.Outage)
+		m := New(Settings{
+			Name: "test", Prefix: "k/", Source: source, Interval: interval, Timeout: interval, PollWait: pollWait, UnavailableAfter: interval,
+			Peers: func() []netip.AddrPort { return nil }, Outage: shared, Clock: time.Now, Log: hclog.NewNullLogger(),
+		})
+		time.Sleep(time.Second)
+		source.Unavailable.Store(true)
+		time.Sleep(10 * time.Second)
+		recovered, returned := shared.Recovered(), time.Now()
+		source.Unavailable.Store(false)
+		<-recovered
+		assert.LessOrEqual(t, time.Since(returned), 2*interval)
+		time.Sleep(time.Minute)
+		reads, _ := m.ReadMetrics().(*expvar.Map).Get("serviceCalls").(*expvar.Int)
+		before := reads.Value()
+		time.Sleep(time.Minute)
+		assert.LessOrEqual(t, reads.Value()-before, int64(time.Minute/pollWait)+1, "reads wait for changes again")
+		require.NoError(t, m.Close())
+	})
+}
--- a/internal/mirror/schedule.go
+++ b/internal/mirror/schedule.go
@@ -41,9 +41,10 @@
 }
 
 // pollWait returns how long a read of the service waits for changes. A router that
-// uses a relay only catches up and does not wait.
+// uses a relay only catches up and does not wait. Neither does one for which the service is
+// failing, since the response ends the outage for all mirrors of the router.
 func (m *Mirror) pollWait() time.Duration {
-	if m.usesRelay() {
+	if m.usesRelay() || m.settings.Outage.Failing() {
 		return 0
 	}
 	return m.settings.PollWait
--- a/internal/outage/outage.go
+++ b/internal/outage/outage.go
@@ -116,6 +116,13 @@
 	}
 }
 
+// Failing reports whether the last call failed, so that the service counts as unavailable.
+func (o *Outage) Failing() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.failing
+}
+
 // LastFailed returns when the last call began that failed, unless the service responded to
 // another call in between. The service was unavailable at some time after that.
 func (o *Outage) LastFailed() time.Time {
