configwatch: silent relays in turn no longer delay a change

What callers saw: with the product's own router, a VM whose relays stop responding but are still listed acted on an old configuration for 8 s for each of them, where a change has to be in force within 8 s. Change: a poll is cut off after 5 s (a relay responds after 4 s), and a poll that fails after no relay has responded for 2 s is followed by one read of the manifest of the service.

--- a/internal/configwatch/configwatch_test.go
+++ b/internal/configwatch/configwatch_test.go
@@ -164,6 +164,16 @@
 			f.clients[relay].SetFaults(keyvalue.Faults{})
 			f.network.setPartitioned(relay, false)
 		}},
+		{"all relays but one silent", func(f *fleet) {
+			for _, relay := range Relays(f.network.live())[1:] {
+				f.network.setSilent(relay, time.Minute)
+			}
+		}, func(f *fleet) {}},
+		{"all relays but one cannot be connected to", func(f *fleet) {
+			for _, relay := range Relays(f.network.live())[1:] {
+				f.network.setSilent(relay, time.Second)
+			}
+		}, func(f *fleet) {}},
 		{"follower partitioned from the relays",
 			func(f *fleet) { f.network.setPartitioned(follower(f), true) },
 			func(f *fleet) {}},
--- a/internal/configwatch/fleet_test.go
+++ b/internal/configwatch/fleet_test.go
@@ -30,12 +30,13 @@
 	mu          sync.Mutex
 	watchers    map[ident.VM]*Watcher
 	partitioned map[ident.VM]bool
-	parts       atomic.Int64 // calls of ConfigurationPart
-	heads       atomic.Int64 // calls of ConfigurationHead that returned a higher revision to a poll
+	silent      map[ident.VM]time.Duration // polls of these VMs fail after that time
+	parts       atomic.Int64               // calls of ConfigurationPart
+	heads       atomic.Int64               // calls of ConfigurationHead that returned a higher revision to a poll
 }
 
 func newNetwork() *network {
-	return &network{watchers: make(map[ident.VM]*Watcher), partitioned: make(map[ident.VM]bool)}
+	return &network{watchers: make(map[ident.VM]*Watcher), partitioned: make(map[ident.VM]bool), silent: make(map[ident.VM]time.Duration)}
 }
 
 // setPartitioned cuts a VM off from all others, or reconnects it.
@@ -45,6 +46,20 @@
 	n.partitioned[vm] = partitioned
 }
 
+// setSilent makes polls of a VM fail after a time.
+func (n *network) setSilent(vm ident.VM, after time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.silent[vm] = after
+}
+
+// silence returns the time after which polls of a VM fail, or 0.
+func (n *network) silence(vm ident.VM) time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.silent[vm]
+}
+
 func (n *network) live() []ident.VM {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -77,6 +92,12 @@
 	if err != nil {
 		return manifest.Manifest{}, err
 	}
+	if after := l.silence(peer); above >= 0 && after > 0 {
+		ctx, cancel := context.WithTimeout(ctx, after)
+		defer cancel()
+		<-ctx.Done()
+		return manifest.Manifest{}, ctx.Err()
+	}
 	ctx, cancel := context.WithTimeout(ctx, 4*time.Second)
 	defer cancel()
 	head := w.AwaitHead(ctx, above)
--- a/internal/configwatch/follow.go
+++ b/internal/configwatch/follow.go
@@ -22,8 +22,13 @@
 const (
 	// defaultTimeout is the default of Settings.Timeout.
 	defaultTimeout = 3 * time.Second
-	// pollTimeout limits one long poll of a relay.
-	pollTimeout = 8 * time.Second
+	// pollTimeout limits one long poll of a relay, which responds after 4 s if there is no change.
+	// Together with a read of the service it stays below the 8 s in which a change has to be in
+	// force.
+	pollTimeout = 5 * time.Second
+	// maxSilence is the time without a response after which a poll that fails is followed by a
+	// read of the service.
+	maxSilence = 2 * time.Second
 	// roleCheckInterval is the interval at which a VM checks whether it has to
 	// watch the key-value service.
 	roleCheckInterval = 5 * time.Second
@@ -299,16 +304,22 @@
 }
 
 // followRelays polls the relays in turn for new revisions. The VM is isolated
-// while no relay is reachable.
+// while no relay is reachable. It reads the service itself if no relay has responded
+// for a time, since the next ones may be silent too.
 func (w *Watcher) followRelays(ctx context.Context) {
-	failures := 0
+	failures, heard := 0, w.settings.Clock()
 	for ctx.Err() == nil {
 		reached := 0
 		for _, relay := range pollOrder(w.settings.VM, w.relays()) {
 			if err := w.followRelay(ctx, relay); err != nil {
 				event.ConfigurationSourceLost.Debug(w.settings.Log, "source", relay, "error", err)
+				if w.settings.Clock().Sub(heard) >= maxSilence {
+					w.readStore(ctx)
+					heard = w.settings.Clock()
+				}
 				continue
 			}
+			heard = w.settings.Clock()
 			reached++
 		}
 		w.setIsolated(reached == 0)
@@ -321,6 +332,20 @@
 	}
 }
 
+// readStore installs the revision in the service if it is higher, unless a watch delivers it.
+func (w *Watcher) readStore(ctx context.Context) {
+	if w.watching.Load() {
+		return
+	}
+	head, err := w.readHead(ctx, storeSource)
+	if err == nil && head.Revision > w.Revision() {
+		err = w.install(ctx, head, []ident.VM{storeSource})
+	}
+	if err != nil {
+		event.ConfigurationSourceLost.Debug(w.settings.Log, "source", sourceName(storeSource), "error", err)
+	}
+}
+
 var errNoRelay = errors.New("no relay was reached")
 
 // setIsolated records whether no relay is reachable, and logs each change.
