mirror, edge: comments on the bound of a copy's age, waits of zero length left out

The constants of the mirrors no longer claim to leave time for each other: the mirror holds the bound. docs/design/configuration.md tells what follows a poll without a response.

--- a/internal/edge/defaults.go
+++ b/internal/edge/defaults.go
@@ -11,19 +11,22 @@
 )
 
 const (
-	// mirrorInterval is the time between two reads of changes. Together with
-	// mirrorTimeout it allows a second read within the two seconds in which a change
-	// has to take effect.
+	// mirrorMaxAge is the time in which a change has to take effect. The mirrors cut all
+	// waits to it, among them those below.
+	mirrorMaxAge = 2 * time.Second
+	// quarantineMaxAge is the maximum age of the quarantine list. Routers also tell each
+	// other of changes directly.
+	quarantineMaxAge = 6 * time.Second
+	// mirrorInterval is the time between two reads of changes.
 	mirrorInterval = 600 * time.Millisecond
 	mirrorTimeout  = 600 * time.Millisecond
 	// mirrorUnavailableDelay is how long a read may be overdue before the key-value
 	// service is considered unavailable and other routers are asked for their copies.
 	mirrorUnavailableDelay = 700 * time.Millisecond
 	// mirrorPollWait is how long a read waits for changes. It bounds how long a router
-	// that was partitioned without notice is still trusted: with relayWait and the
-	// margin by which its own read may be overdue it must stay below the two seconds in
-	// which a change has to take effect, with time left for a read of the key-value
-	// service itself.
+	// that was partitioned without notice is still trusted as a relay. With two waits
+	// of relayWait it stays below mirrorMaxAge, so that routers which read through two
+	// relays do not call the key-value service in normal operation.
 	mirrorPollWait = 900 * time.Millisecond
 	// relaxedPollWait is how long a read of the routers' records or of the quarantine
 	// list waits for changes. These may be some seconds old.
@@ -31,15 +34,8 @@
 	// relaxedCallInterval is the MinCallInterval of these mirrors. It keeps their reads
 	// from adding to the load of reads of changes that have to take effect soon.
 	relaxedCallInterval = 500 * time.Millisecond
-	// relayWait is how long a read from a relay waits for changes. With mirrorTimeout,
-	// for which the response may be on its way, it leaves time to read the key-value
-	// service itself once the relay stops responding.
+	// relayWait is how long a read from a relay waits for changes.
 	relayWait = 400 * time.Millisecond
-	// mirrorMaxAge is the time in which a change has to take effect.
-	mirrorMaxAge = 2 * time.Second
-	// quarantineMaxAge is the maximum age of the quarantine list. Routers also tell each
-	// other of changes directly.
-	quarantineMaxAge = 6 * time.Second
 	// operatorMirror is the name of the mirror of the configuration and the closed failure
 	// domains. Routers of earlier releases have a mirror "configuration" without the closed
 	// domains, whose copies and changes must not be taken for those of this one.
--- a/internal/edge/late_test.go
+++ b/internal/edge/losses_test.go
@@ -36,7 +36,7 @@
 	firstDraw = flag.Uint64("first-draw", 1, "first seed of TestChangeIsInForceInTime")
 )
 
-// Bounds of the platform's rules: a change is in force contactTime after the end of an outage, and
+// contactTime is the time after the end of an outage from which on a change has to be in force
 // mirrorMaxAge after it was acknowledged.
 const contactTime = 3 * time.Second
 
@@ -76,8 +76,8 @@
 	record membership.Record
 }
 
-// losses is a fleet on given time whose service is away for a time and whose routers stop
-// responding, one after the other. Its mirrors have the settings of a real router.
+// losses is a fleet in a synctest bubble. Its service is away for a time, and its routers stop
+// responding one after the other. The mirrors have the settings of a real router.
 type losses struct {
 	t       *testing.T
 	random  *rand.Rand
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -277,13 +277,16 @@
 		}
 		m.expireLapsed()
 		began := m.settings.Clock()
+		delay := m.nextDelay(relayed, began.Sub(start), err)
 		select {
-		case <-time.After(m.nextDelay(relayed, began.Sub(start), err)):
+		case <-time.After(delay):
 		case <-recovered:
 		case <-m.tomb.Dying():
 			return nil
 		}
-		m.recordWait("pause", began)
+		if delay > 0 {
+			m.recordWait("pause", began)
+		}
 	}
 }
 
--- a/internal/mirror/schedule.go
+++ b/internal/mirror/schedule.go
@@ -11,9 +11,7 @@
 const (
 	// followerRetryInterval is the minimum time between two calls to a failing
 	// service by a router that uses a relay. The relay reports the recovery at least
-	// as early, unless the router itself was disconnected. Including the time of a
-	// read, such a router is up to date again within the three seconds allowed after
-	// its reconnection.
+	// as early, unless the router itself was disconnected.
 	followerRetryInterval = 1500 * time.Millisecond
 	// followerRecoveryDelay is how long after an outage such a router makes no call,
 	// so that the relay can report the recovery first.
@@ -29,7 +27,7 @@
 }
 
 // callIntervals returns the minimum intervals between two calls to the service. There are none if
-// a call is due.
+// the copy would become too old meanwhile.
 func (m *Mirror) callIntervals() outage.Intervals {
 	switch {
 	case m.callDue():
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -63,7 +63,7 @@
 	Pooled
 )
 
-// DialFunc opens a connection, as net.Dialer.DialContext does. If it is nil, that is used.
+// DialFunc opens a connection, as net.Dialer.DialContext does. If it is nil, the latter is used.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
 // Within returns a function that opens connections with dial and gives up after the timeout, unless
