--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -22,6 +22,10 @@
 // time is too long. Routers that relay to each other therefore cannot keep each
 // other's stale copies alive.
 //
+// A mirror keeps the time by which the service itself has to be read again, by this router or
+// by one that it reads through. All waits are cut to it: for relays, for other routers' copies,
+// between calls, and before the next read. A wait that is added must be cut, too.
+//
 // Entries that disappeared while the service was unavailable are kept for a grace
 // period after its recovery, in which their owners can write them again. Only a failed
 // call to the service shows that it was unavailable.
