mirror: no timer for a pause of zero length

Cause: in a synctest bubble with the race detector, a select on a timer that has already expired crashes the runtime of Go 1.26.8 (runtime.(*timer).maybeRunChan from the select of Mirror.run: SIGSEGV, or a CHECK of ThreadSanitizer). After each relayed read the mirror made such a timer. Change: the pause is a method, and is left out if it has no length.

--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -280,20 +280,25 @@
 			m.recordWait("copies of other routers", began)
 		}
 		m.expireLapsed()
-		began := m.settings.Clock()
-		delay := m.nextDelay(relayed, began.Sub(start), err)
-		select {
-		case <-time.After(delay):
-		case <-recovered:
-		case <-m.tomb.Dying():
-			return nil
+		if delay := m.nextDelay(relayed, m.settings.Clock().Sub(start), err); delay > 0 {
+			m.pause(delay, recovered)
 		}
-		if delay > 0 {
-			m.recordWait("pause", began)
+		if !m.tomb.Alive() {
+			return nil
 		}
 	}
 }
 
+// pause waits for a time, until an outage of the service ends, or until the mirror is closed.
+func (m *Mirror) pause(delay time.Duration, recovered <-chan struct{}) {
+	defer m.recordWait("pause", m.settings.Clock())
+	select {
+	case <-time.After(delay):
+	case <-recovered:
+	case <-m.tomb.Dying():
+	}
+}
+
 // readOnce reads the changes since the last read, or all entries if the mirror is not
 // initialized. It reports whether they came from another router.
 func (m *Mirror) readOnce(ctx context.Context) (relayed bool, err error) {
