mirror: a request to a relay goes on while the service is called

Cause: once a call of the service was due, the request to the relay was given up, also if its response was on the way. On a full link the call gets no response in time either, the relay goes into backoff, and the response that would have come 0.2 s later is lost. Change: the service is called beside the request. Whichever response comes first is applied; revisions order them.

--- a/internal/mirror/age_test.go
+++ b/internal/mirror/age_test.go
@@ -254,3 +254,42 @@
 		require.NoError(t, m.Close())
 	})
 }
+
+// TestSlowRelayIsNotGivenUp guards against a router on a full link that gives up a request to its
+// relay because a call of the service is due, which gets no response either.
+func TestSlowRelayIsNotGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const maxAge, delay = time.Second, 800 * time.Millisecond
+		h := &hosts{t: t}
+		service := keyvalue.New(keyvalue.Settings{Seed: 1, Clock: time.Now})
+		s := Settings{
+			Name: "test", Prefix: "k/", Source: mirrorsource.New(service.Client()),
+			Interval: 100 * time.Millisecond, Timeout: maxAge, RelayWait: 100 * time.Millisecond, UnavailableAfter: time.Minute, MaxAge: maxAge,
+			Peers: func() []netip.AddrPort { return nil }, Dial: h.network.Dial, Clock: time.Now, Log: hclog.NewNullLogger(),
+		}
+		relay := New(s)
+		handler := relay.ChangesHandler()
+		address := h.add(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			time.Sleep(delay)
+			handler.ServeHTTP(w, r)
+		}))
+		time.Sleep(time.Second)
+		source := mirrorsource.New(service.Client())
+		s.Source, s.Relays = source, func() []netip.AddrPort { return []netip.AddrPort{address} }
+		m := New(s)
+		time.Sleep(time.Millisecond)
+		source.Unavailable.Store(true)
+		for n := range 20 {
+			_, err := service.Client().Put(t.Context(), "k/a", []byte{byte(n)}, store.Always, store.NoLease)
+			require.NoError(t, err)
+			time.Sleep(2*(delay+s.RelayWait) + s.Interval)
+			e, _ := m.Get("k/a")
+			assert.Equal(t, []byte{byte(n)}, e.Value)
+		}
+		relay.StopRelay()
+		require.NoError(t, m.Close())
+		require.NoError(t, relay.Close())
+		_ = h.servers[0].Close()
+		time.Sleep(maxAge)
+	})
+}
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -23,8 +23,9 @@
 // other's stale copies alive.
 //
 // A mirror keeps the time by which the service itself has to be read again, by this router or
-// by one that it reads through. All waits are cut to it: for relays, for other routers' copies,
-// between calls, and before the next read. A wait that is added must be cut, too.
+// by one that it reads through. All waits are cut to it: for other routers' copies, between calls,
+// and before the next read. A wait that is added must be cut, too. While a relay has not responded,
+// the service is called beside.
 //
 // Entries that disappeared while the service was unavailable are kept for a grace
 // period after its recovery, in which their owners can write them again. Only a failed
@@ -116,7 +117,7 @@
 	MinCallInterval time.Duration
 	// MaxAge is the maximum time from one read of the service itself, by this router or by one
 	// that it reads through, to the next. After a failed call it is at least maxRecoveryTime, from
-	// the beginning of that call on. All waits are cut so that the service is called before.
+	// the beginning of that call on. The service is called before, whatever else is waited for.
 	// Zero means no maximum.
 	MaxAge time.Duration
 	// Equivalent reports whether two values of an entry are equivalent to the router.
--- a/internal/mirror/relay.go
+++ b/internal/mirror/relay.go
@@ -89,8 +89,9 @@
 }
 
 // readFromRelay reads the changes after a revision from the preferred relay that is
-// not in backoff. It returns false if there is none, the relay fails, or the service itself
-// has to be called before a relay would have responded.
+// not in backoff. If the service itself has to be called before the relay has responded, it is
+// called beside: both may be slow because the link of the VM is full. readFromRelay returns false
+// if nothing was read.
 func (m *Mirror) readFromRelay(ctx context.Context, from store.Revision) (ok bool) {
 	if m.settings.Relays == nil {
 		return false
@@ -112,10 +113,10 @@
 		bases := m.largeEntries()
 		request := changesRequest{After: m.relayRevision(from), WaitMillis: wait.Milliseconds(), Held: revisions(bases), Eras: true}
 		sent := m.settings.Clock()
-		limit := m.settings.RelayWait + m.settings.Timeout
-		relayCtx, t, stop := transfer.Limit{Begin: limit, Header: m.cut(limit)}.Start(ctx, m.settings.Clock)
+		relayCtx, t := transfer.Start(ctx, m.settings.Clock)
+		stop := m.callWhenDue(ctx, from)
 		err := m.relayLinks.Post(relayCtx, relay, ChangesPath+m.settings.Name, request, &response)
-		stop()
+		called := stop()
 		if err == nil {
 			if err = errors.Join(response.checkEra(from), m.unpackChanges(response, bases)); err != nil {
 				m.relayLinks.StartBackoff(relay)
@@ -128,7 +129,7 @@
 			m.recordWait("relay "+relay.String(), sent)
 			m.logRelayFailure(relay, from, t, err)
 			m.recheckDeletions()
-			return false
+			return called
 		}
 		m.relayRefused = false
 		now := m.settings.Clock()
--- a/internal/mirror/service.go
+++ b/internal/mirror/service.go
@@ -9,6 +9,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"example.org/lagoonfork/internal/event"
+	"example.org/lagoonfork/internal/outage"
 	"example.org/lagoonfork/internal/transfer"
 	"example.org/lagoonfork/pkg/store"
 )
@@ -30,14 +31,12 @@
 func (m *Mirror) readService(ctx context.Context, from store.Revision, initialized bool) (err error) {
 	started := m.settings.Clock()
 	defer func() {
-		if err == nil {
+		if err == nil || ctx.Err() != nil {
 			return
 		}
 		err = merry.Prepend(err, "reading the key-value service")
 		m.recordWait("the service", started)
-		if ctx.Err() == nil {
-			m.settings.Outage.Record(started, m.settings.Clock(), err)
-		}
+		m.settings.Outage.Record(started, m.settings.Clock(), err)
 		m.suspendRelay()
 	}()
 	err = m.readServiceOnce(ctx, from, initialized, m.pollWait())
@@ -52,6 +51,33 @@
 	return err
 }
 
+// callWhenDue reads the changes after a revision from the service each time that it has to be
+// called, beside a request to a relay. The returned function ends that and reports whether the
+// service was read.
+func (m *Mirror) callWhenDue(ctx context.Context, from store.Revision) (stop func() (called bool)) {
+	ctx, cancel := context.WithCancel(ctx)
+	done := make(chan struct{})
+	called := false
+	timer := time.AfterFunc(m.untilCall(), func() {
+		defer close(done)
+		for ctx.Err() == nil {
+			m.settings.Outage.Allow(m.settings.Clock(), outage.Intervals{}) // records the call
+			called = m.readService(ctx, from, true) == nil || called
+			select {
+			case <-time.After(max(m.untilCall(), m.settings.Interval/2)):
+			case <-ctx.Done():
+			}
+		}
+	})
+	return func() bool {
+		cancel()
+		if !timer.Stop() {
+			<-done
+		}
+		return called
+	}
+}
+
 // readServiceOnce reads the changes after a revision from the service, and waits for changes if
 // there are none. It lists all entries if the mirror is not initialized, the changes were
 // compacted, or they are larger than the list.
