--- a/review/driver3/main.go
+++ b/review/driver3/main.go
@@ -21,7 +21,7 @@
 	"crashleave":  crashLeave,
 	"crashloop":   crashLoop,
 	"crashpair":   crashPair,
-	"overflow":    overflow,
+	"uncounted":   uncounted,
 	"release":     release,
 	"retrywindow": retryWindowCase,
 }
