--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,4 +3,4 @@
 # under review is built by the command of deploy/system.toml.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-go build -o target/review3 ./review/driver3
+go build -tags review -o target/review3 ./review/driver3
--- a/review/driver3/main.go
+++ b/review/driver3/main.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Command driver3 runs the scripted cases of the third review. Each case starts routers as
 // processes of their own, with the program and the settings template of the deploy file, in front
 // of stand-ins for the platform's store, the workers and the clients, on loopback addresses.
--- a/review/driver3/retrywindow.go
+++ b/review/driver3/retrywindow.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
