--- a/review/driver3/crashloop.go
+++ b/review/driver3/crashloop.go
@@ -10,15 +10,31 @@
 	"time"
 )
 
-// Times of the case crashloop.
+// The cases crashloop and crashpair.
 const (
 	crashDown     = 3 * time.Second // "the worker is back after some seconds"
 	crashInterval = 5 * time.Second // between two sendings of the request
 	crashSendings = 13
+	crashWorkers  = 6
+	soundInterval = 400 * time.Millisecond // between two sound requests
+	soundGap      = 150 * time.Millisecond
+
 	// maxRetriesAfterThird is the bound of the rule.
 	maxRetriesAfterThird = 3
 )
 
+// The case crashleave. All sendings are within the 9 s in which clients of the site leave on one of its days,
+// and are less than three tenths of the requests then.
+const (
+	leaveInterval      = 700 * time.Millisecond
+	leaveSendings      = 12
+	leaveWorkers       = 18
+	leaveSoundInterval = 200 * time.Millisecond
+	leaveSoundGap      = 40 * time.Millisecond
+	leaveAfter         = 100 * time.Millisecond // half the objective is 300 ms
+	leaveWaits         = 300 * time.Millisecond
+)
+
 // crashLog records when the crashing request reached workers, and when it crashed them.
 type crashLog struct {
 	mu      sync.Mutex
@@ -26,14 +42,16 @@
 	crashed []time.Time
 }
 
-func (l *crashLog) add(crashed bool) {
+func (l *crashLog) arrive() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now := time.Now()
-	l.arrived = append(l.arrived, now)
-	if crashed {
-		l.crashed = append(l.crashed, now)
-	}
+	l.arrived = append(l.arrived, time.Now())
+}
+
+func (l *crashLog) crash() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.crashed = append(l.crashed, time.Now())
 }
 
 // lateRetries returns how often the request reached workers later than contactMs after it had crashed
@@ -61,6 +79,11 @@
 	// waits is how long the crashing request waits at a worker before it begins to run, also if its
 	// connection is closed meanwhile. leaves is when its client leaves, or 0.
 	waits, leaves time.Duration
+	// interval is between two of the sendings, soundInterval between two sound requests.
+	interval, soundInterval time.Duration
+	soundGap                time.Duration // between the events of a sound stream
+	sendings                int
+	ownPrompts              bool // whether each sound request has a prompt of its own
 
 	mu           sync.Mutex
 	served, lost int // of the sound requests
@@ -73,9 +96,9 @@
 
 // newCrashSystem starts workers and routers. newIDs tells whether a worker that has crashed starts
 // again under another identifier.
-func newCrashSystem(f *fleet, crash, newIDs bool) (s *crashSystem, err error) {
-	s = &crashSystem{fleet: f, crash: crash}
-	for n := range 6 {
+func newCrashSystem(f *fleet, crash, newIDs bool, workers int) (s *crashSystem, err error) {
+	s = &crashSystem{fleet: f, crash: crash, interval: crashInterval, soundInterval: soundInterval, soundGap: soundGap, sendings: crashSendings}
+	for n := range workers {
 		w := &worker{service: "orloj-llm", zone: zones[n%len(zones)], id: fmt.Sprintf("i-%02d", n+1), run: s.run}
 		if newIDs {
 			w.restartID = func(starts int) string { return fmt.Sprintf("i-%02d-%d", n+1, starts) }
@@ -113,12 +136,13 @@
 // run is what a worker does with a request.
 func (s *crashSystem) run(w *worker, rw http.ResponseWriter, r *http.Request) {
 	if r.URL.Path != crashPath {
-		stream(rw, r, 13, 150*time.Millisecond)
+		stream(rw, r, 13, s.soundGap)
 		return
 	}
+	s.log.arrive()
 	time.Sleep(s.waits)
-	s.log.add(s.crash)
 	if s.crash {
+		s.log.crash()
 		w.crash(crashDown)
 		panic(http.ErrAbortHandler)
 	}
@@ -131,10 +155,14 @@
 	if path == crashPath {
 		leaves = s.leaves
 	}
+	prompt := "5c1e07a2:2520,91bd3f06:250,e4402b7d:120"
+	if path != crashPath && s.ownPrompts {
+		prompt = fmt.Sprintf("%08x:2520,%08x:370", n+1, n+1<<16)
+	}
 	s.printf("request %s is sent to %s", id, router.vm)
 	a := send(router.caller, call{
 		method: http.MethodPost, path: path, body: "the same body", id: id, key: crashKey, deadline: 5 * time.Second, leaves: leaves,
-		header: map[string]string{"X-Model": "m", "X-Token-Count": "2890,60", "X-Prompt-Prefix": "5c1e07a2:2520,91bd3f06:250,e4402b7d:120"},
+		header: map[string]string{"X-Model": "m", "X-Token-Count": "2890,60", "X-Prompt-Prefix": prompt},
 	})
 	s.printf("the client of %s gets %d, whole: %t", id, a.status, a.whole())
 	return a
@@ -148,7 +176,7 @@
 		select {
 		case <-end:
 			return
-		case <-time.After(400 * time.Millisecond):
+		case <-time.After(s.soundInterval):
 		}
 		all.Go(func() {
 			id := fmt.Sprintf("sound-%d", n)
@@ -179,8 +207,8 @@
 	end := make(chan struct{})
 	var sound sync.WaitGroup
 	sound.Go(func() { s.sendSound(end) })
-	for n := range crashSendings {
-		time.Sleep(crashInterval)
+	for n := range s.sendings {
+		time.Sleep(s.interval)
 		if before != nil {
 			go before(n)
 			time.Sleep(100 * time.Millisecond)
@@ -196,7 +224,7 @@
 // the identifiers that they had; with NEW_IDS=1, for comparison, under others. Without trouble the
 // request is sound.
 func crashLoop(f *fleet, trouble bool) (broken bool, err error) {
-	s, err := newCrashSystem(f, trouble, os.Getenv("NEW_IDS") == "1")
+	s, err := newCrashSystem(f, trouble, os.Getenv("NEW_IDS") == "1", crashWorkers)
 	if err != nil {
 		return false, err
 	}
@@ -206,7 +234,7 @@
 // crashPair is crashLoop with workers that start again under other identifiers, and a client that
 // sends a sound request together with the crashing one each time; with ALONE=1, for comparison, it does not.
 func crashPair(f *fleet, trouble bool) (broken bool, err error) {
-	s, err := newCrashSystem(f, trouble, true)
+	s, err := newCrashSystem(f, trouble, true, crashWorkers)
 	if err != nil {
 		return false, err
 	}
@@ -219,10 +247,12 @@
 // crashLeave is crashLoop with workers that start again under other identifiers. The client leaves
 // while its request waits at a worker, which does not drop it.
 func crashLeave(f *fleet, trouble bool) (broken bool, err error) {
-	s, err := newCrashSystem(f, trouble, true)
+	s, err := newCrashSystem(f, trouble, true, leaveWorkers)
 	if err != nil {
 		return false, err
 	}
-	s.waits, s.leaves = 300*time.Millisecond, 100*time.Millisecond
+	s.waits, s.leaves = leaveWaits, leaveAfter
+	s.interval, s.soundInterval, s.soundGap, s.sendings = leaveInterval, leaveSoundInterval, leaveSoundGap, leaveSendings
+	s.ownPrompts = true
 	return s.play(nil), nil
 }
--- a/review/driver3/release.go
+++ b/review/driver3/release.go
@@ -15,7 +15,7 @@
 // The case release.
 const (
 	releaseWorkers = 6
-	releaseShare   = 3                       // workers that are replaced
+	releaseShare   = 2                       // workers that are replaced
 	releaseEvery   = 1100 * time.Millisecond // between the starts of two new workers
 	releaseServes  = 4 * time.Second
 	releaseEvents  = 10 // of a stream
